--- /dev/null
+++ b/internal/broker/member.go
@@ -0,0 +1,22 @@
+package broker
+
+import "net/netip"
+
+// Member is one process that takes part in the ownership of backend servers.
+type Member struct {
+	ID    NodeID         `json:"id" cbor:"1,keyasint"`
+	Zone  string         `json:"zone" cbor:"2,keyasint"`
+	Peer  netip.AddrPort `json:"peer" cbor:"3,keyasint"`  // UDP address of the peer link
+	Entry netip.AddrPort `json:"entry" cbor:"4,keyasint"` // TCP address for callers
+}
+
+// Generation numbers the member list of a cell; higher is newer, zero is none.
+type Generation uint64
+
+// Membership is the member list of a cell as stored at key "members/<cell>"; the generation is the
+// version of that object.
+type Membership struct {
+	Generation Generation `json:"-" cbor:"1,keyasint"`
+	Members    []Member   `json:"members" cbor:"2,keyasint"` // sorted by ID
+	Previous   []Member   `json:"previous" cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/broker/message.go
@@ -0,0 +1,116 @@
+package broker
+
+import "time"
+
+// Message is one peer message; exactly one field is set.
+type Message struct {
+	Heartbeat      *Heartbeat      `cbor:"1,keyasint,omitempty"`
+	HeartbeatReply *HeartbeatReply `cbor:"2,keyasint,omitempty"`
+	SubRequest     *SubRequest     `cbor:"3,keyasint,omitempty"`
+	SubAnswer      *SubAnswer      `cbor:"4,keyasint,omitempty"`
+	Cancel         *Cancel         `cbor:"5,keyasint,omitempty"`
+	ServerState    *ServerState    `cbor:"6,keyasint,omitempty"`
+	Forward        *Forward        `cbor:"7,keyasint,omitempty"`
+	ForwardAnswer  *ForwardAnswer  `cbor:"8,keyasint,omitempty"`
+	Release        *Release        `cbor:"9,keyasint,omitempty"`
+	ConfigFetch    *ConfigFetch    `cbor:"10,keyasint,omitempty"`
+	Config         *ConfigObject   `cbor:"11,keyasint,omitempty"`
+	CrashReport    *CrashReport    `cbor:"12,keyasint,omitempty"`
+	Quarantine     *Quarantine     `cbor:"13,keyasint,omitempty"`
+	Membership     *Membership     `cbor:"14,keyasint,omitempty"`
+}
+
+// Heartbeat announces the sender and asks the receiver for a grant.
+type Heartbeat struct {
+	Sequence   uint64     `cbor:"1,keyasint"`
+	Generation Generation `cbor:"2,keyasint"`
+	Excluded   []NodeID   `cbor:"3,keyasint,omitempty"`
+	Revision   Revision   `cbor:"4,keyasint"` // configuration in force at the sender
+	Leaving    bool       `cbor:"5,keyasint,omitempty"`
+}
+
+// HeartbeatReply answers the heartbeat with the same sequence.
+type HeartbeatReply struct {
+	Sequence   uint64     `cbor:"1,keyasint"`
+	Generation Generation `cbor:"2,keyasint"`
+	Excluded   []NodeID   `cbor:"3,keyasint,omitempty"`
+	Revision   Revision   `cbor:"4,keyasint"`
+	Granted    bool       `cbor:"5,keyasint,omitempty"`
+	Leaving    bool       `cbor:"6,keyasint,omitempty"`
+}
+
+// Cancel withdraws one attempt.
+type Cancel struct {
+	RequestID string    `cbor:"1,keyasint"`
+	Shard     ShardName `cbor:"2,keyasint"`
+	Attempt   uint32    `cbor:"3,keyasint"`
+}
+
+// Forward passes a whole query to the claim point of its shard.
+type Forward struct {
+	Query       Query         `cbor:"1,keyasint"`
+	Remaining   time.Duration `cbor:"2,keyasint"`
+	Revision    Revision      `cbor:"3,keyasint"`
+	TraceParent string        `cbor:"4,keyasint,omitempty"`
+}
+
+// ForwardAnswer returns the answer to a forwarded query.
+type ForwardAnswer struct {
+	RequestID string `cbor:"1,keyasint"`
+	Answer    Answer `cbor:"2,keyasint"`
+}
+
+// Claim records that a request ID of a non-idempotent request was accepted, with its answer once known.
+type Claim struct {
+	RequestID string    `cbor:"1,keyasint"`
+	Claimed   time.Time `cbor:"2,keyasint"`
+	Answer    *Answer   `cbor:"3,keyasint,omitempty"`
+}
+
+// ShardClaims are the claims that a claim point holds for one shard.
+type ShardClaims struct {
+	Service string    `cbor:"1,keyasint"`
+	Shard   ShardName `cbor:"2,keyasint"`
+	Fence   time.Time `cbor:"3,keyasint"` // request IDs created before it are refused
+	Claims  []Claim   `cbor:"4,keyasint,omitempty"`
+}
+
+// Release hands servers and claim points over to the receiver, which owns them under Generation; the sender
+// dispatches no more to them.
+type Release struct {
+	Generation Generation    `cbor:"1,keyasint"`
+	Servers    []ServerState `cbor:"2,keyasint,omitempty"`
+	Claims     []ShardClaims `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigFetch asks the receiver for its configuration if it is newer than Revision.
+type ConfigFetch struct {
+	Revision   Revision   `cbor:"1,keyasint"`
+	Generation Generation `cbor:"2,keyasint"`
+}
+
+// ConfigObject is a configuration as stored, with its revision.
+type ConfigObject struct {
+	Revision Revision `cbor:"1,keyasint"`
+	Value    []byte   `cbor:"2,keyasint"`
+}
+
+// Quarantine lists fingerprints that no node may run; sent in full when a link comes up.
+type Quarantine struct {
+	Suspects    []Fingerprint `cbor:"1,keyasint,omitempty"`
+	Quarantined []Fingerprint `cbor:"2,keyasint,omitempty"`
+}
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	// Send queues a message without blocking; it fails where no link to the node is up or its queue is full, in
+	// which case no byte of the message left this process.
+	Send(to NodeID, message Message) error
+}
+
+// PeerHandler receives peer messages and changes of links; calls for one node do not overlap.
+type PeerHandler interface {
+	HandleMessage(from NodeID, message Message)
+	LinkUp(node NodeID)
+	LinkDown(node NodeID)
+}
--- /dev/null
+++ b/internal/broker/outcome.go
@@ -0,0 +1,75 @@
+package broker
+
+// Outcome tells what is known about the execution of a request or attempt.
+type Outcome uint8
+
+const (
+	// OutcomeAnswered means that the request ran and its whole answer arrived.
+	OutcomeAnswered Outcome = iota + 1
+	// OutcomeNotRun means that the request certainly did not run.
+	OutcomeNotRun
+	// OutcomeUnknown means that the request may or may not have run.
+	OutcomeUnknown
+	// OutcomeFailed means that the backend server ran the request and reported an error.
+	OutcomeFailed
+)
+
+// String returns the camel-case name used in answers, metrics and logs.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeAnswered:
+		return "answered"
+	case OutcomeNotRun:
+		return "notRun"
+	case OutcomeUnknown:
+		return "outcomeUnknown"
+	case OutcomeFailed:
+		return "failed"
+	default:
+		return "invalid"
+	}
+}
+
+// Reason says why an attempt was refused, failed or left a shard missing.
+type Reason string
+
+// Reasons are shared by refusals, missing shards, metrics labels and logs.
+const (
+	ReasonNone            Reason = ""
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonDeadline        Reason = "deadline"
+	ReasonNotOwner        Reason = "notOwner"
+	ReasonLeaseLapsed     Reason = "leaseLapsed"
+	ReasonCold            Reason = "cold"
+	ReasonDraining        Reason = "draining"
+	ReasonZoneOut         Reason = "zoneOut"
+	ReasonLeaving         Reason = "leaving"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonConnectionLimit Reason = "connectionLimit"
+	ReasonSnapshotMissing Reason = "snapshotMissing"
+	ReasonStalePartition  Reason = "stalePartitioning"
+	ReasonShed            Reason = "shed"
+	ReasonUnreachable     Reason = "unreachable"
+	ReasonSilent          Reason = "silent"
+	ReasonCrashed         Reason = "crashed"
+	ReasonBackendError    Reason = "backendError"
+	ReasonNoReplica       Reason = "noReplica"
+	ReasonBudget          Reason = "retryBudget"
+	ReasonDuplicate       Reason = "duplicate"
+	ReasonExpiredID       Reason = "expiredRequestId"
+	ReasonFenced          Reason = "claimsFenced"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonMismatch        Reason = "mismatchedAnswer"
+)
+
+// Status is the overall result of a query as told to the caller.
+type Status string
+
+// Statuses of a query.
+const (
+	StatusComplete             Status = "complete"
+	StatusPartial              Status = "partial"
+	StatusInsufficientCoverage Status = "insufficientCoverage"
+	StatusNotRun               Status = "notRun"
+	StatusOutcomeUnknown       Status = "outcomeUnknown"
+)
--- /dev/null
+++ b/internal/broker/query.go
@@ -0,0 +1,137 @@
+package broker
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// NodeID names one process incarnation of a node, as "name/incarnation".
+type NodeID string
+
+// ServerName names a backend server as in the configuration.
+type ServerName string
+
+// ShardName names a shard within its service.
+type ShardName string
+
+// Snapshot numbers a version of a service's index; higher is newer, zero is none.
+type Snapshot uint64
+
+// Revision numbers a configuration; higher is newer, zero is none.
+type Revision uint64
+
+// Fingerprint identifies the kind and body of a request independent of its request ID.
+type Fingerprint uint64
+
+// Query is a caller's request as accepted by an entry.
+type Query struct {
+	RequestID string          `json:"requestId"`
+	Kind      string          `json:"kind"`
+	Key       string          `json:"key,omitempty"`
+	Limit     int             `json:"limit,omitempty"`
+	Body      json.RawMessage `json:"body,omitempty"`
+}
+
+// Hit is one scored result of a backend server.
+type Hit struct {
+	ID     string          `json:"id" cbor:"1,keyasint"`
+	Score  float64         `json:"score" cbor:"2,keyasint"`
+	Shard  ShardName       `json:"shard,omitempty" cbor:"3,keyasint,omitempty"`
+	Fields json.RawMessage `json:"fields,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// MissingShard names a shard without an answer and the reason.
+type MissingShard struct {
+	Shard  ShardName `json:"shard"`
+	Reason Reason    `json:"reason"`
+}
+
+// Coverage states how many of the shards of a query answered.
+type Coverage struct {
+	ShardsTotal    int            `json:"shardsTotal"`
+	ShardsAnswered int            `json:"shardsAnswered"`
+	Missing        []MissingShard `json:"missing,omitempty"`
+}
+
+// Answer is what an entry returns to the caller.
+type Answer struct {
+	RequestID string   `json:"requestId"`
+	Status    Status   `json:"status"`
+	Reason    Reason   `json:"reason,omitempty"`
+	Snapshot  Snapshot `json:"snapshot,omitempty"`
+	Revision  Revision `json:"revision,omitempty"`
+	Coverage  Coverage `json:"coverage"`
+	Hits      []Hit    `json:"hits,omitempty"`
+	Entries   []string `json:"entries,omitempty"`
+}
+
+// SubRequest is one attempt at one shard, sent by an entry to the owner of a backend server.
+type SubRequest struct {
+	RequestID    string        `cbor:"1,keyasint"`
+	Service      string        `cbor:"2,keyasint"`
+	Shard        ShardName     `cbor:"3,keyasint"`
+	Server       ServerName    `cbor:"4,keyasint"`
+	Attempt      uint32        `cbor:"5,keyasint"`
+	Snapshot     Snapshot      `cbor:"6,keyasint"`
+	Partitioning uint64        `cbor:"7,keyasint"`
+	Kind         string        `cbor:"8,keyasint"`
+	Idempotent   bool          `cbor:"9,keyasint"`
+	Priority     int           `cbor:"10,keyasint"`
+	Remaining    time.Duration `cbor:"11,keyasint"` // time left until the deadline when sent
+	Fingerprint  Fingerprint   `cbor:"12,keyasint"`
+	Limit        int           `cbor:"13,keyasint,omitempty"`
+	Body         []byte        `cbor:"14,keyasint,omitempty"`
+	TraceParent  string        `cbor:"15,keyasint,omitempty"`
+	Revision     Revision      `cbor:"16,keyasint"`
+}
+
+// SubAnswer is the result of one attempt; identifying fields repeat those of the sub-request as the
+// backend server stated them.
+type SubAnswer struct {
+	RequestID    string        `cbor:"1,keyasint"`
+	Shard        ShardName     `cbor:"2,keyasint"`
+	Server       ServerName    `cbor:"3,keyasint"`
+	Attempt      uint32        `cbor:"4,keyasint"`
+	Snapshot     Snapshot      `cbor:"5,keyasint"`
+	Partitioning uint64        `cbor:"6,keyasint"`
+	Outcome      Outcome       `cbor:"7,keyasint"`
+	Reason       Reason        `cbor:"8,keyasint,omitempty"`
+	Hits         []Hit         `cbor:"9,keyasint,omitempty"`
+	Queued       int           `cbor:"10,keyasint"` // requests waiting for the server at its owner
+	Latency      time.Duration `cbor:"11,keyasint"` // time at the backend server, measured by the owner
+}
+
+// Phase is the state of a backend server as its owner observes it.
+type Phase string
+
+// Phases of a backend server.
+const (
+	PhaseUnknown  Phase = "unknown"
+	PhaseCold     Phase = "cold"
+	PhaseRamping  Phase = "ramping"
+	PhaseWarm     Phase = "warm"
+	PhaseDraining Phase = "draining"
+	PhaseDown     Phase = "down"
+)
+
+// ServerState is what the owner of a backend server announces to all nodes.
+type ServerState struct {
+	Server       ServerName `cbor:"1,keyasint" json:"server"`
+	Phase        Phase      `cbor:"2,keyasint" json:"phase"`
+	Limit        int        `cbor:"3,keyasint" json:"limit"`
+	Snapshots    []Snapshot `cbor:"4,keyasint" json:"snapshots"`
+	Partitioning uint64     `cbor:"5,keyasint" json:"partitioning"`
+	BootID       string     `cbor:"6,keyasint" json:"bootId"`
+	Owner        NodeID     `cbor:"7,keyasint" json:"owner"`
+	Sequence     uint64     `cbor:"8,keyasint" json:"sequence"` // raised by the owner with each change
+	InFlight     int        `cbor:"9,keyasint" json:"inFlight"`
+}
+
+// CrashReport tells every node that a backend server died while running a request.
+type CrashReport struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Server      ServerName  `cbor:"2,keyasint"`
+	BootID      string      `cbor:"3,keyasint"`
+	Alone       bool        `cbor:"4,keyasint"` // no other request was running at the server
+	Cleared     bool        `cbor:"5,keyasint"` // the suspect ran alone and finished
+}
--- /dev/null
+++ b/internal/broker/state/holder/holder.go
@@ -0,0 +1,31 @@
+package holder
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Holder keeps a pointer to an immutable T with read-copy-update access.
+type Holder[T any] struct {
+	value atomic.Pointer[T]
+	write sync.Mutex
+}
+
+// New returns a holder of value.
+func New[T any](value *T) *Holder[T] {
+	h := &Holder[T]{}
+	h.value.Store(value)
+	return h
+}
+
+// Load returns the current value, which callers must not change.
+func (h *Holder[T]) Load() *T { return h.value.Load() }
+
+// Update replaces the value by what change returns for the current one; nil keeps the current value.
+func (h *Holder[T]) Update(change func(current *T) *T) {
+	h.write.Lock()
+	defer h.write.Unlock()
+	if next := change(h.value.Load()); next != nil {
+		h.value.Store(next)
+	}
+}
