--- /dev/null
+++ b/internal/broker/transport/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener serves callers and operators over HTTP.
+package listener
--- /dev/null
+++ b/internal/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads and checks the settings file of a daemon.
+package loader
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,134 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	stderrors "errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of Error.
+const (
+	KindUnreadable ErrorKind = "unreadable"
+	KindInvalid    ErrorKind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns what could not be done and why.
+func (e *Error) Error() string { return fmt.Sprintf("could not %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Load reads settings from the file at path; the error lists every fault with its path in the file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &Error{Op: "read the settings", Kind: KindUnreadable, Err: errors.WithStack(err)}
+	}
+	return Parse(data)
+}
+
+// Parse reads settings from JSON over the defaults and checks them.
+func Parse(data []byte) (Settings, error) {
+	settings := Defaults()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, &Error{Op: "decode the settings", Kind: KindInvalid, Err: err}
+	}
+	if _, err := decoder.Token(); !stderrors.Is(err, io.EOF) {
+		return Settings{}, &Error{Op: "decode the settings", Kind: KindInvalid, Err: errors.New("data after the JSON object")}
+	}
+	if err := check(&settings); err != nil {
+		return Settings{}, &Error{Op: "accept the settings", Kind: KindInvalid, Err: err}
+	}
+	return settings, nil
+}
+
+// check joins all faults, so that one run shows everything that has to be corrected.
+func check(s *Settings) error {
+	var faults []error
+	fault := func(path, format string, args ...any) {
+		faults = append(faults, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+	}
+	names := []struct{ path, value string }{{"node", s.Node}, {"zone", s.Zone}, {"cell", s.Cell}}
+	for _, name := range names {
+		if !namePattern.MatchString(name.value) {
+			fault(name.path, "must be 1 to 63 lower-case letters, digits or hyphens, got %q", name.value)
+		}
+	}
+	addresses := []struct {
+		path  string
+		value netip.AddrPort
+	}{{"entry", s.Entry}, {"peer", s.Peer}}
+	for _, address := range addresses {
+		if !address.value.IsValid() || address.value.Addr().IsUnspecified() {
+			fault(address.path, "must be an IP address and port that others can reach, got %q", address.value)
+		}
+	}
+	if base, err := url.Parse(s.Store); err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		fault("store", "must be an http or https URL, got %q", s.Store)
+	}
+	files := []struct{ path, value string }{
+		{"tls.ca", s.TLS.CA}, {"tls.certificate", s.TLS.Certificate}, {"tls.key", s.TLS.Key},
+	}
+	for _, file := range files {
+		if file.value == "" {
+			fault(file.path, "is missing; peer links need mutual TLS")
+		}
+	}
+	checkRanges(s, fault)
+	return stderrors.Join(faults...)
+}
+
+func checkRanges(s *Settings, fault func(path, format string, args ...any)) {
+	if time.Duration(s.StopDeadline) <= 0 {
+		fault("stopDeadline", "must be positive")
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		fault("logLevel", "must be debug, info, warn or error, got %q", s.LogLevel)
+	}
+	switch s.Trace.Exporter {
+	case ExporterNone, ExporterStdout:
+	case ExporterOTLP:
+		if s.Trace.Endpoint == "" {
+			fault("trace.endpoint", "is missing for the exporter \"otlp\"")
+		}
+	default:
+		fault("trace.exporter", "must be none, stdout or otlp, got %q", s.Trace.Exporter)
+	}
+	if s.Trace.Sample < 0 || s.Trace.Sample > 1 {
+		fault("trace.sample", "must be between 0 and 1, got %v", s.Trace.Sample)
+	}
+	if s.Limits.MaxBody <= 0 {
+		fault("limits.maxBody", "must be positive")
+	}
+	if s.Limits.MaxConcurrent <= 0 {
+		fault("limits.maxConcurrent", "must be positive")
+	}
+	if time.Duration(s.Limits.MaxQueryTime) <= 0 {
+		fault("limits.maxQueryTime", "must be positive")
+	}
+}
--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,51 @@
+package loader
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const validSettings = `{"node":"a1","zone":"a","entry":"127.0.0.1:8080","peer":"127.0.0.1:9080",
+"store":"http://127.0.0.1:7000","tls":{"ca":"ca.pem","certificate":"a1.pem","key":"a1.key"}`
+
+// TestParse guards against settings that are accepted although a field is wrong or misspelled, and against
+// errors that name only the first fault.
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		give string
+		want []string // parts of the error; none means accepted
+	}{
+		{name: "valid", give: validSettings + `}`},
+		{name: "unknown field", give: validSettings + `,"nodes":1}`, want: []string{`unknown field "nodes"`}},
+		{name: "trailing data", give: validSettings + `} {}`, want: []string{"data after the JSON object"}},
+		{
+			name: "every fault",
+			give: `{"node":"A 1","zone":"","entry":"0.0.0.0:1","store":"ftp://x","trace":{"exporter":"file","sample":2},
+"limits":{"maxBody":0,"maxConcurrent":-1,"maxQueryTime":"0s"},"logLevel":"loud","stopDeadline":"-1s"}`,
+			want: []string{
+				"node:", "zone:", "entry:", "peer:", "store:", "tls.ca:", "tls.certificate:", "tls.key:",
+				"stopDeadline:", "logLevel:", "trace.exporter:", "trace.sample:", "limits.maxBody:",
+				"limits.maxConcurrent:", "limits.maxQueryTime:",
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse([]byte(tt.give))
+			if got, want := err != nil, len(tt.want) > 0; got != want {
+				t.Fatalf("Parse() error: got %v, want error %v", err, want)
+			}
+			var typed *Error
+			if err != nil && !errors.As(err, &typed) {
+				t.Fatalf("Parse() error type: got %T, want *Error", err)
+			}
+			for _, want := range tt.want {
+				if got := err.Error(); !strings.Contains(got, want) {
+					t.Errorf("Parse() error: got %q, want it to contain %q", got, want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,69 @@
+package loader
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+// TLS names the files of the peer link's keys; the files are read again when they change.
+type TLS struct {
+	CA          string `json:"ca"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Exporter says where traces go.
+type Exporter string
+
+// Exporters of traces.
+const (
+	ExporterNone   Exporter = "none"
+	ExporterStdout Exporter = "stdout"
+	ExporterOTLP   Exporter = "otlp"
+)
+
+// Trace configures tracing.
+type Trace struct {
+	Exporter Exporter `json:"exporter"`
+	Endpoint string   `json:"endpoint,omitempty"` // URL of the OTLP receiver
+	Sample   float64  `json:"sample"`             // share of queries, 0 to 1
+}
+
+// Limits bound what callers can take from the node.
+type Limits struct {
+	MaxBody       int64                 `json:"maxBody"` // bytes
+	MaxConcurrent int                   `json:"maxConcurrent"`
+	MaxQueryTime  configurator.Duration `json:"maxQueryTime"`
+}
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Node         string                `json:"node"`
+	Zone         string                `json:"zone"`
+	Cell         string                `json:"cell"`
+	Entry        netip.AddrPort        `json:"entry"` // TCP address for callers and operators
+	Peer         netip.AddrPort        `json:"peer"`  // UDP address of the peer link
+	Store        string                `json:"store"` // base URL of the platform's store
+	TLS          TLS                   `json:"tls"`
+	StopDeadline configurator.Duration `json:"stopDeadline"`
+	LogLevel     string                `json:"logLevel"`
+	Trace        Trace                 `json:"trace"`
+	Limits       Limits                `json:"limits"`
+}
+
+// Defaults returns the settings that apply where the file gives none.
+func Defaults() Settings {
+	return Settings{
+		Cell:         "main",
+		StopDeadline: configurator.Duration(30 * time.Second),
+		LogLevel:     "info",
+		Trace:        Trace{Exporter: ExporterNone, Sample: 0.01},
+		Limits: Limits{
+			MaxBody:       1 << 20,
+			MaxConcurrent: 4096,
+			MaxQueryTime:  configurator.Duration(30 * time.Second),
+		},
+	}
+}
--- /dev/null
+++ b/internal/tracer/doc.go
@@ -0,0 +1,2 @@
+// Package tracer sets up OpenTelemetry tracing: a span for each hop of a query.
+package tracer
