Add owner role: admission, quarantine, claims and backend connections

Cause: the owner of a backend server is the only node that talks to it, so all its limits have to be counted there. BackendRequest gets Permit, CrashReport gets Trial, and ErrUnreachable tells a dead process from a slow one.

--- /dev/null
+++ b/internal/broker/coordination/owner/call.go
@@ -0,0 +1,206 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/admitter"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
+)
+
+// call is one sub-request from its arrival to its answer.
+type call struct {
+	sub      broker.SubRequest
+	server   *server
+	ctx      context.Context
+	stop     context.CancelFunc // nil where ctx belongs to the caller
+	reply    func(broker.SubAnswer)
+	ticket   admitter.Ticket
+	deadline time.Time
+
+	alone      bool // runs alone, because its fingerprint is a suspect
+	trial      bool // holds the one more run of its fingerprint
+	dispatched bool
+	bootID     string // of the server when the call was dispatched
+}
+
+// Handle runs one sub-request and returns its answer; it withdraws the sub-request when ctx ends.
+func (o *Owner) Handle(ctx context.Context, sub broker.SubRequest) broker.SubAnswer {
+	answers := make(chan broker.SubAnswer, 1)
+	c := &call{sub: sub, ctx: ctx, reply: func(answer broker.SubAnswer) { answers <- answer }}
+	o.work.Add(1)
+	defer o.work.Done()
+	if o.submit(c) {
+		c.server.run(c)
+	}
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+		c.server.withdraw(c)
+		return <-answers
+	}
+}
+
+// Submit runs one sub-request and calls reply once with its answer. A repeat of an attempt that is in progress is
+// ignored, because its answer would be taken for that of the attempt.
+func (o *Owner) Submit(sub broker.SubRequest, reply func(broker.SubAnswer)) {
+	key := keyOf(&sub)
+	ctx, stop := context.WithCancel(context.Background())
+	c := &call{sub: sub, ctx: ctx, stop: stop}
+	c.reply = func(answer broker.SubAnswer) {
+		o.calls.remove(key)
+		stop()
+		reply(answer)
+	}
+	if !o.calls.add(key, c) {
+		stop()
+		o.counters.duplicates.Inc()
+		return
+	}
+	if o.submit(c) {
+		o.work.Add(1)
+		go func() {
+			defer o.work.Done()
+			c.server.run(c)
+		}()
+	}
+}
+
+// Cancel withdraws an attempt that came through Submit; its reply is still called.
+func (o *Owner) Cancel(requestID string, shard broker.ShardName, attempt uint32) {
+	c := o.calls.get(callKey{requestID, shard, attempt})
+	if c == nil {
+		return
+	}
+	c.stop()
+	c.server.withdraw(c)
+}
+
+// submit passes a call to the admitter of its server and returns whether the caller has to run it now.
+func (o *Owner) submit(c *call) bool {
+	now := o.clock.Now()
+	c.deadline = now.Add(c.sub.Remaining)
+	s := o.views.Load().servers[c.sub.Server]
+	if s == nil {
+		o.counters.notRun.Inc()
+		c.reply(refuse(&c.sub, broker.ReasonNotOwner, 0))
+		return false
+	}
+	c.server = s
+	switch o.quarantine.Standing(c.sub.Fingerprint, now) {
+	case quarantiner.Quarantined, quarantiner.OnTrial:
+		o.counters.quarantined.Inc()
+		s.answer(c, refuse(&c.sub, broker.ReasonQuarantined, 0))
+		return false
+	case quarantiner.Suspect:
+		c.alone = true
+	}
+	return s.submit(c, now)
+}
+
+func (s *server) submit(c *call, now time.Time) bool {
+	var e effects
+	s.mu.Lock()
+	if s.released.Load() {
+		s.mu.Unlock()
+		s.answer(c, refuse(&c.sub, broker.ReasonNotOwner, 0))
+		return false
+	}
+	s.lastTicket++
+	c.ticket = s.lastTicket
+	s.calls[c.ticket] = c
+	request := admitter.Request{
+		Ticket: c.ticket, Priority: c.sub.Priority, Deadline: c.deadline, Alone: c.alone,
+	}
+	s.collect(&e, s.admitter.Submit(request, now))
+	s.mu.Unlock()
+	return s.apply(&e, c)
+}
+
+// withdraw takes a queued call out of the queue; a dispatched one ends through its context.
+func (s *server) withdraw(c *call) {
+	if s == nil {
+		return
+	}
+	now := s.owner.clock.Now()
+	s.do(func(a *admitter.Admitter) []admitter.Action { return a.Cancel(c.ticket, now) })
+}
+
+// answer counts an answer and passes it on; the lock is not held.
+func (s *server) answer(c *call, answer broker.SubAnswer) {
+	switch answer.Outcome {
+	case broker.OutcomeAnswered:
+		s.owner.counters.answered.Inc()
+	case broker.OutcomeNotRun:
+		s.owner.counters.notRun.Inc()
+	case broker.OutcomeFailed:
+		s.owner.counters.failed.Inc()
+	default:
+		s.owner.counters.unknown.Inc()
+	}
+	c.reply(answer)
+}
+
+// callKey identifies an attempt among those of all entries.
+type callKey struct {
+	requestID string
+	shard     broker.ShardName
+	attempt   uint32
+}
+
+func keyOf(sub *broker.SubRequest) callKey { return callKey{sub.RequestID, sub.Shard, sub.Attempt} }
+
+// registryStripes keeps contention on the registry low on hosts with tens of cores.
+const registryStripes = 64
+
+// callRegistry finds calls for Cancel.
+type callRegistry struct {
+	stripes []callStripe
+}
+
+type callStripe struct {
+	mu    sync.Mutex
+	calls map[callKey]*call
+}
+
+func newCallRegistry() callRegistry {
+	r := callRegistry{stripes: make([]callStripe, registryStripes)}
+	for i := range r.stripes {
+		r.stripes[i].calls = make(map[callKey]*call)
+	}
+	return r
+}
+
+func (r *callRegistry) stripe(key callKey) *callStripe {
+	return &r.stripes[xxhash.Sum64String(key.requestID)%registryStripes]
+}
+
+func (r *callRegistry) add(key callKey, c *call) bool {
+	stripe := r.stripe(key)
+	stripe.mu.Lock()
+	defer stripe.mu.Unlock()
+	if stripe.calls[key] != nil {
+		return false
+	}
+	stripe.calls[key] = c
+	return true
+}
+
+func (r *callRegistry) get(key callKey) *call {
+	stripe := r.stripe(key)
+	stripe.mu.Lock()
+	defer stripe.mu.Unlock()
+	return stripe.calls[key]
+}
+
+func (r *callRegistry) remove(key callKey) {
+	stripe := r.stripe(key)
+	stripe.mu.Lock()
+	defer stripe.mu.Unlock()
+	delete(stripe.calls, key)
+}
--- a/internal/broker/interfaces.go
+++ b/internal/broker/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 )
@@ -51,6 +52,9 @@
 	Address netip.AddrPort
 	// Fresh asks for a connection that no request has used.
 	Fresh bool
+	// Permit is called immediately before the first byte of the request leaves; false withholds the request. Nil
+	// permits.
+	Permit func() bool
 }
 
 // BackendResult is what is known after one request to a backend server.
@@ -66,6 +70,9 @@
 	Draining bool
 }
 
+// ErrUnreachable is in the chain of an error of Backend.Status where no process accepts or keeps a connection.
+var ErrUnreachable = errors.New("backend server unreachable")
+
 // BackendStatus is the status endpoint of a backend server, which lags or misleads.
 type BackendStatus struct {
 	BootID       string                   `json:"bootId"`
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -134,4 +134,6 @@
 	BootID      string      `cbor:"3,keyasint"`
 	Alone       bool        `cbor:"4,keyasint"` // no other request was running at the server
 	Cleared     bool        `cbor:"5,keyasint"` // the suspect ran alone and finished
+	// Trial is whether the suspect starts its one more run, so that no other node starts it as well.
+	Trial bool `cbor:"6,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/broker/transport/dispatcher/protocol.go
@@ -0,0 +1,47 @@
+package dispatcher
+
+import (
+	"encoding/json"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// Paths and headers of the backend protocol.
+const (
+	PathSearch     = "/v1/search"
+	PathStatus     = "/v1/status"
+	HeaderDeadline = "Yuccarock-Deadline"
+	HeaderTrace    = "traceparent"
+)
+
+// SearchRequest is the body of POST /v1/search.
+type SearchRequest struct {
+	RequestID    string           `json:"requestId"`
+	Shard        broker.ShardName `json:"shard"`
+	Snapshot     broker.Snapshot  `json:"snapshot"`
+	Partitioning uint64           `json:"partitioning"`
+	Attempt      uint32           `json:"attempt"`
+	Limit        int              `json:"limit"`
+	Kind         string           `json:"kind"`
+	Body         json.RawMessage  `json:"body,omitempty"`
+}
+
+// SearchAnswer is the body of status 200.
+type SearchAnswer struct {
+	RequestID    string           `json:"requestId"`
+	Shard        broker.ShardName `json:"shard"`
+	Snapshot     broker.Snapshot  `json:"snapshot"`
+	Partitioning uint64           `json:"partitioning"`
+	Attempt      uint32           `json:"attempt"`
+	Hits         []broker.Hit     `json:"hits"`
+	BootID       string           `json:"bootId"`
+	Draining     bool             `json:"draining"`
+}
+
+// Refusal is the body of statuses 503 and 409.
+type Refusal struct {
+	NotStarted bool          `json:"notStarted"`
+	Reason     broker.Reason `json:"reason"`
+	BootID     string        `json:"bootId,omitempty"`
+	Draining   bool          `json:"draining,omitempty"`
+}
