--- a/internal/broker/coordination/admitter/admitter.go
+++ b/internal/broker/coordination/admitter/admitter.go
@@ -106,9 +106,10 @@
 	return a.actions
 }
 
-// Tick refuses queued requests whose deadline cannot be met any more and ends pauses.
+// Tick refuses queued requests whose deadline cannot be met any more, ends pauses and looks for overdue requests.
 func (a *Admitter) Tick(now time.Time) []Action {
 	a.begin(now)
+	a.suspectOverdue(now)
 	a.pump(now)
 	return a.actions
 }
--- a/internal/broker/coordination/admitter/phase.go
+++ b/internal/broker/coordination/admitter/phase.go
@@ -234,6 +234,20 @@
 	}
 }
 
+// suspectOverdue counts requests that have been running far longer than while warm, so that a server that has become
+// cold is known before its first slow answers.
+func (a *Admitter) suspectOverdue(now time.Time) {
+	overdue := 0
+	for i := range a.running {
+		if a.estimate.slow(now.Sub(a.running[i].started)) {
+			overdue++
+		}
+	}
+	if overdue > 0 && a.evidence+overdue >= coldEvidence {
+		a.suspectCold(overdue)
+	}
+}
+
 // resume continues in the phase that the previous owner announced.
 func (a *Admitter) resume() {
 	state := a.announced
