Add membership, leases, configuration adoption and the joiner

Change: packages ranker, leaser (pure core), adopter and joiner; Membership gains PreviousGeneration and Earlier, because a reader that skips a generation must know every list whose majority may still grant leases.

--- /dev/null
+++ b/internal/broker/coordination/adopter/doc.go
@@ -0,0 +1,2 @@
+// Package adopter puts configuration revisions in force at a node, each whole and only upward.
+package adopter
--- /dev/null
+++ b/internal/broker/coordination/joiner/step.go
@@ -0,0 +1,147 @@
+package joiner
+
+import (
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/leaser"
+	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+// step gives the core one event and carries out its actions in order.
+func (j *Joiner) step(now time.Time, event leaser.Event) {
+	for _, action := range j.core.Load().Step(now, event) {
+		j.act(now, action)
+	}
+}
+
+func (j *Joiner) act(now time.Time, action leaser.Action) {
+	switch a := action.(type) {
+	case leaser.Send:
+		// A heartbeat that cannot be sent is a lost one.
+		_ = j.peers.Send(a.To, a.Message)
+	case leaser.PushMembership:
+		j.pushMembership(a.To)
+	case leaser.Gained:
+		if servers, _ := split(a.Keys); len(servers) > 0 {
+			j.log.Info("gained servers", "servers", len(servers), "planned", a.Planned)
+			j.handler.OwnershipChanged(servers, nil, a.Planned)
+		}
+	case leaser.Lost:
+		if servers, _ := split(a.Keys); len(servers) > 0 {
+			j.log.Info("lost servers", "servers", len(servers), "planned", a.Planned)
+			j.handler.OwnershipChanged(nil, servers, a.Planned)
+		}
+	case leaser.Handover:
+		j.release(now, a)
+	case leaser.Rewrite:
+		j.startRewrite(now, a.Remove)
+	case leaser.Rejoin:
+		j.rejoinAt = now.Add(j.jitter(j.settings.RetryMin, j.settings.RetryMax/2))
+	case leaser.Changed:
+		j.log.Info("lease changed", "from", string(a.From), "to", string(a.To))
+	}
+}
+
+func (j *Joiner) adoptMembership(membership broker.Membership) {
+	if membership.Generation <= j.membership.Generation {
+		return
+	}
+	j.membership = membership
+	j.log.Info("generation adopted", "generation", membership.Generation, "members", len(membership.Members))
+	j.step(j.clock.Now(), leaser.Adopt{Membership: membership})
+}
+
+// offer adopts a configuration and assigns its servers and claim points.
+func (j *Joiner) offer(object broker.ConfigObject) {
+	adopted, err := j.adopter.Offer(object)
+	if err != nil {
+		j.log.Error("configuration refused", "revision", object.Revision, "error", err)
+	}
+	if adopted {
+		j.log.Info("configuration adopted", "revision", object.Revision)
+		j.tableChanged()
+	}
+}
+
+func (j *Joiner) tableChanged() {
+	table := j.adopter.Table()
+	core := j.core.Load()
+	core.SetRevision(j.adopter.Revision())
+	j.step(j.clock.Now(), leaser.Assign{Resources: resources(table)})
+	j.handler.TableChanged(table)
+	j.followZone(table)
+}
+
+// followZone leaves the cell while the own zone is out of service and rejoins when it is back.
+func (j *Joiner) followZone(table *indexer.Table) {
+	out := false
+	for i := range table.Config.Zones {
+		zone := &table.Config.Zones[i]
+		out = out || zone.Name == j.self.Zone && zone.State == configurator.ZoneOut
+	}
+	if out == j.zoneOut {
+		return
+	}
+	j.zoneOut = out
+	now := j.clock.Now()
+	if out {
+		j.step(now, leaser.Leave{})
+	} else if !j.leaving {
+		j.rejoinAt = now
+	}
+}
+
+// resources returns the servers of a table and the claim points of its services with non-idempotent kinds.
+func resources(table *indexer.Table) []leaser.Resource {
+	config := table.Config
+	list := make([]leaser.Resource, 0, len(config.Servers))
+	for i := range config.Servers {
+		list = append(list, leaser.Resource{
+			Key: leaser.Key{Server: broker.ServerName(config.Servers[i].Name)}, Zone: config.Servers[i].Zone,
+		})
+	}
+	claimed := make(map[string]bool)
+	for i := range config.RequestKinds {
+		if kind := &config.RequestKinds[i]; !kind.Idempotent {
+			claimed[kind.Service] = true
+		}
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		if !claimed[service.Name] {
+			continue
+		}
+		for k := range service.Shards {
+			list = append(list, leaser.Resource{Key: leaser.Key{
+				Service: service.Name, Shard: broker.ShardName(service.Shards[k].Name),
+			}})
+		}
+	}
+	return list
+}
+
+// isMember returns whether the member list in force names this incarnation.
+func (j *Joiner) isMember() bool {
+	for i := range j.membership.Members {
+		if j.membership.Members[i].ID == j.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// rejoin replaces the core by one of a new incarnation, which speaks for nothing that the old one granted.
+func (j *Joiner) rejoin(now time.Time) {
+	j.rejoinAt = time.Time{}
+	j.self = j.handler.NewIncarnation(j.self)
+	j.handovers = nil
+	j.log.Info("rejoining", "node", j.self.ID)
+	j.core.Store(leaser.New(j.settings.Leaser, j.self, now))
+	j.step(now, leaser.Adopt{Membership: j.membership})
+	if j.adopter.Table() != nil {
+		j.core.Load().SetRevision(j.adopter.Revision())
+		j.step(now, leaser.Assign{Resources: resources(j.adopter.Table())})
+	}
+}
--- /dev/null
+++ b/internal/broker/coordination/joiner/store.go
@@ -0,0 +1,260 @@
+package joiner
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/leaser"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/ranker"
+)
+
+const (
+	// watchers is how many members of a cell watch the store for the others.
+	watchers = 2
+	// maxEarlier bounds the unconfirmed generations in a member list; joining waits beyond it.
+	maxEarlier = 32
+)
+
+// task is a store call of one kind, of which one runs at a time.
+type task struct {
+	running bool
+	cancel  context.CancelFunc
+	next    time.Time
+	retry   time.Duration
+}
+
+// start runs call on its own goroutine and done on the event loop with the call's error. After an error the
+// task is not due before a growing delay.
+func (j *Joiner) start(t *task, timeout time.Duration, call func(context.Context) error, done func()) {
+	ctx, cancel := context.WithTimeout(j.ctx, timeout)
+	t.running, t.cancel = true, cancel
+	go func() {
+		err := call(ctx)
+		cancel()
+		j.post(func() {
+			t.running, t.cancel = false, nil
+			if err != nil {
+				t.retry = min(max(2*t.retry, j.settings.RetryMin), j.settings.RetryMax)
+				t.next = j.clock.Now().Add(j.jitter(t.retry/2, t.retry))
+				return
+			}
+			t.retry = 0
+			done()
+		})
+	}()
+}
+
+func (t *task) due(now time.Time) bool { return !t.running && !now.Before(t.next) }
+
+func (j *Joiner) jitter(low, high time.Duration) time.Duration {
+	if high <= low {
+		return low
+	}
+	return low + time.Duration(j.random.Int64N(int64(high-low)))
+}
+
+// scheduleStore starts the store calls that are due.
+func (j *Joiner) scheduleStore(now time.Time) {
+	if !j.rejoinAt.IsZero() && !now.Before(j.rejoinAt) && !j.leaving && !j.zoneOut && !j.write.running {
+		j.rejoin(now)
+	}
+	core := j.core.Load()
+	switch {
+	case !j.write.due(now) || !j.rejoinAt.IsZero():
+	case j.leaving || j.zoneOut:
+		if j.isMember() {
+			j.startRewrite(now, []broker.NodeID{j.self.ID})
+		}
+	case !j.isMember():
+		j.startJoin()
+	}
+	place := j.watchPlace(core)
+	j.watch(now, place < watchers, &j.config, ConfigKey, uint64(j.adopter.Revision()), j.readConfig)
+	j.watch(now, place < watchers, &j.members, MembersKey(j.settings.Cell), uint64(j.membership.Generation),
+		j.readMembers)
+	if place == 0 && j.poll.due(now) {
+		j.poll.next = now.Add(j.jitter(j.settings.Poll*3/4, j.settings.Poll))
+		j.get(&j.poll, ConfigKey, j.readConfig)
+	}
+	if core.NeedsHosts() && j.hosts.due(now) {
+		j.hosts.next = now.Add(j.settings.HostPoll)
+		j.readHosts()
+	}
+}
+
+// watchPlace returns the place of this process among the members that watch the store. A process that does not
+// hold its lease cannot rely on others and watches as well.
+func (j *Joiner) watchPlace(core *leaser.Core) int {
+	if core.Lifecycle() != leaser.LeaseHeld {
+		return watchers - 1
+	}
+	return slices.Index(ranker.Rank(core.Live(), "watch", ""), j.self.ID)
+}
+
+// watch keeps a watch of key waiting while wanted.
+func (j *Joiner) watch(
+	now time.Time, wanted bool, t *task, key string, version uint64, read func(broker.Object) error,
+) {
+	if !wanted {
+		if t.running {
+			t.cancel()
+		}
+		return
+	}
+	if !t.due(now) {
+		return
+	}
+	var object broker.Object
+	j.start(t, j.settings.WatchTimeout, func(ctx context.Context) error {
+		var err error
+		object, err = j.store.Watch(ctx, key, version)
+		if ctx.Err() != nil {
+			// The wait ended without a change.
+			object = broker.Object{}
+			return nil
+		}
+		return err
+	}, func() { j.read(object, read) })
+}
+
+func (j *Joiner) get(t *task, key string, read func(broker.Object) error) {
+	var object broker.Object
+	j.start(t, j.settings.StoreTimeout, func(ctx context.Context) error {
+		var err error
+		object, err = j.store.Get(ctx, key)
+		return err
+	}, func() { j.read(object, read) })
+}
+
+func (j *Joiner) read(object broker.Object, read func(broker.Object) error) {
+	if object.Version == 0 {
+		return
+	}
+	if err := read(object); err != nil {
+		j.log.Error("store object refused", "key", object.Key, "version", object.Version, "error", err)
+	}
+}
+
+func (j *Joiner) readConfig(object broker.Object) error {
+	j.offer(broker.ConfigObject{Revision: broker.Revision(object.Version), Value: object.Value})
+	return nil
+}
+
+func (j *Joiner) readMembers(object broker.Object) error {
+	membership, err := decode(object)
+	if err == nil {
+		j.adoptMembership(membership)
+	}
+	return err
+}
+
+func (j *Joiner) readHosts() {
+	var hosts []broker.Host
+	j.start(&j.hosts, j.settings.StoreTimeout, func(ctx context.Context) error {
+		var err error
+		hosts, err = j.store.Hosts(ctx)
+		return err
+	}, func() { j.step(j.clock.Now(), leaser.HostList{Hosts: hosts}) })
+}
+
+// startJoin adds this process to the member list in place of its predecessors under the same peer address.
+func (j *Joiner) startJoin() {
+	self := j.self
+	j.startWrite(func(members []broker.Member) []broker.Member {
+		members = slices.DeleteFunc(members, func(m broker.Member) bool {
+			return m.Peer == self.Peer || m.ID == self.ID
+		})
+		return append(members, self)
+	})
+}
+
+// startRewrite removes members from the list, and with none only drops the confirmed earlier generations.
+func (j *Joiner) startRewrite(now time.Time, remove []broker.NodeID) {
+	if !j.write.due(now) {
+		return
+	}
+	j.startWrite(func(members []broker.Member) []broker.Member {
+		return slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
+	})
+}
+
+// startWrite reads the member list, changes it and writes it where it has not changed meanwhile. A lost reply
+// is resolved by the next attempt, which reads the list first and finds the change made.
+func (j *Joiner) startWrite(change func([]broker.Member) []broker.Member) {
+	key := MembersKey(j.settings.Cell)
+	confirmed, ok := j.core.Load().Confirmed()
+	var result broker.Membership
+	j.start(&j.write, j.settings.StoreTimeout, func(ctx context.Context) error {
+		object, err := j.store.Get(ctx, key)
+		if err != nil {
+			return &Error{Op: "read member list", Kind: KindStore, Err: err}
+		}
+		base, err := decode(object)
+		if err != nil {
+			return err
+		}
+		result = base
+		next := advance(base, change, ok && confirmed == base.Generation)
+		if next == nil {
+			return nil
+		}
+		if len(next.Earlier) > maxEarlier {
+			return &Error{
+				Op: "write member list", Kind: KindStore,
+				Err: errors.New("earlier generations are not confirmed"),
+			}
+		}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return &Error{Op: "write member list", Kind: KindDecode, Err: err}
+		}
+		version, err := j.store.Put(ctx, key, value, object.Version)
+		if err != nil {
+			return &Error{Op: "write member list", Kind: KindStore, Err: err}
+		}
+		result = *next
+		result.Generation = broker.Generation(version)
+		return nil
+	}, func() { j.adoptMembership(result) })
+}
+
+// advance returns the next member list, or nil where change has nothing to do and there is nothing to drop.
+func advance(
+	base broker.Membership, change func([]broker.Member) []broker.Member, confirmed bool,
+) *broker.Membership {
+	members := change(slices.Clone(base.Members))
+	slices.SortFunc(members, func(a, b broker.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if slices.Equal(members, base.Members) && (!confirmed || len(base.Earlier) == 0) {
+		return nil
+	}
+	next := &broker.Membership{
+		Members: members, Previous: base.Members, PreviousGeneration: base.Generation,
+	}
+	if !confirmed && base.Generation != 0 {
+		next.Earlier = slices.Clone(base.Earlier)
+		if base.PreviousGeneration != 0 {
+			next.Earlier = append(next.Earlier, broker.PastMembers{
+				Generation: base.PreviousGeneration, Members: base.Previous,
+			})
+		}
+	}
+	return next
+}
+
+func decode(object broker.Object) (broker.Membership, error) {
+	var membership broker.Membership
+	if object.Version == 0 {
+		return membership, nil
+	}
+	if err := json.Unmarshal(object.Value, &membership); err != nil {
+		return membership, &Error{Op: "read member list", Kind: KindDecode, Err: err}
+	}
+	membership.Generation = broker.Generation(object.Version)
+	return membership, nil
+}
--- /dev/null
+++ b/internal/broker/coordination/ranker/doc.go
@@ -0,0 +1,2 @@
+// Package ranker orders the members of a cell for a server or shard by rendezvous hashing.
+package ranker
--- /dev/null
+++ b/internal/broker/coordination/ranker/ranker.go
@@ -0,0 +1,73 @@
+package ranker
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+type candidate struct {
+	member *broker.Member
+	near   bool
+	score  uint64
+}
+
+// Rank returns the IDs of members in their order of precedence for key. Members in zone come before the
+// others; an empty zone gives no preference. The order of two members does not depend on the other members.
+func Rank(members []broker.Member, key, zone string) []broker.NodeID {
+	candidates := make([]candidate, len(members))
+	for i := range members {
+		candidates[i] = newCandidate(&members[i], key, zone)
+	}
+	slices.SortFunc(candidates, compare)
+	ids := make([]broker.NodeID, len(candidates))
+	for i := range candidates {
+		ids[i] = candidates[i].member.ID
+	}
+	return ids
+}
+
+// Owner returns the first member in the order of Rank that is not excluded, or an empty ID.
+func Owner(members []broker.Member, key, zone string, excluded func(broker.NodeID) bool) broker.NodeID {
+	var best candidate
+	for i := range members {
+		if excluded != nil && excluded(members[i].ID) {
+			continue
+		}
+		next := newCandidate(&members[i], key, zone)
+		if best.member == nil || compare(next, best) < 0 {
+			best = next
+		}
+	}
+	if best.member == nil {
+		return ""
+	}
+	return best.member.ID
+}
+
+// newCandidate hashes the node name without its incarnation, so that a restarted node owns the same keys again.
+func newCandidate(member *broker.Member, key, zone string) candidate {
+	name, _, _ := strings.Cut(string(member.ID), "/")
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(name)
+	return candidate{member: member, near: zone != "" && member.Zone == zone, score: digest.Sum64()}
+}
+
+func compare(a, b candidate) int {
+	if a.near != b.near {
+		if a.near {
+			return -1
+		}
+		return 1
+	}
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return cmp.Compare(a.member.ID, b.member.ID)
+}
--- a/internal/broker/member.go
+++ b/internal/broker/member.go
@@ -19,4 +19,14 @@
 	Generation Generation `json:"-" cbor:"1,keyasint"`
 	Members    []Member   `json:"members" cbor:"2,keyasint"` // sorted by ID
 	Previous   []Member   `json:"previous" cbor:"3,keyasint"`
+	// PreviousGeneration is the generation of Previous.
+	PreviousGeneration Generation `json:"previousGeneration" cbor:"4,keyasint"`
+	// Earlier lists generations before Previous whose end no member had confirmed when this one was written.
+	Earlier []PastMembers `json:"earlier,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// PastMembers is the member list of an earlier generation.
+type PastMembers struct {
+	Generation Generation `json:"generation" cbor:"1,keyasint"`
+	Members    []Member   `json:"members" cbor:"2,keyasint"`
 }
