--- a/pkg/configurator/model.go
+++ b/pkg/configurator/model.go
@@ -117,10 +117,12 @@
 
 // Config is the whole configuration as stored and as in force at a node.
 type Config struct {
-	Name         string        `json:"name"`
-	SubmissionID string        `json:"submissionId,omitempty"`
-	Zones        []Zone        `json:"zones"`
-	Services     []Service     `json:"services"`
-	Servers      []Server      `json:"servers"`
-	RequestKinds []RequestKind `json:"requestKinds"`
+	Name         string `json:"name"`
+	SubmissionID string `json:"submissionId,omitempty"`
+	// AllowAllZonesOut permits a configuration in which every availability zone is out of service.
+	AllowAllZonesOut bool          `json:"allowAllZonesOut,omitempty"`
+	Zones            []Zone        `json:"zones"`
+	Services         []Service     `json:"services"`
+	Servers          []Server      `json:"servers"`
+	RequestKinds     []RequestKind `json:"requestKinds"`
 }
