Add the encoder of peer frames

Peer messages need a compact form that can be batched. The encoder writes CBOR messages with integer keys into length-prefixed frames and decodes them one by one, with limits on nesting, arrays, maps, messages and frame size. Query and Answer get integer keys too, because they travel in forward messages.

--- /dev/null
+++ b/internal/broker/protocol/encoder/encoder_test.go
@@ -0,0 +1,239 @@
+package encoder
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// fill sets every field below v to a value other than zero, so that a field without an encoding shows.
+func fill(v reflect.Value, seed *int64) {
+	*seed++
+	switch v.Interface().(type) {
+	case time.Time:
+		v.Set(reflect.ValueOf(time.Unix(1_800_000_000+*seed, 123_456_789).UTC()))
+		return
+	case netip.AddrPort:
+		v.Set(reflect.ValueOf(netip.AddrPortFrom(netip.MustParseAddr("2001:db8::7"), uint16(*seed))))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), seed)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), seed)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(v.Index(0), seed)
+		fill(v.Index(1), seed)
+	case reflect.String:
+		v.SetString(strings.Repeat("å", int(*seed%5)+1))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(float64(*seed) + 0.1)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(-*seed * 1000)
+	default:
+		v.SetUint(uint64(*seed%200) + 1)
+	}
+}
+
+func everyMessage() []broker.Message {
+	fields := reflect.TypeFor[broker.Message]().NumField()
+	messages := make([]broker.Message, fields)
+	seed := int64(0)
+	for i := range fields {
+		fill(reflect.ValueOf(&messages[i]).Elem().Field(i), &seed)
+	}
+	return messages
+}
+
+func encodeAll(t testing.TB, messages ...broker.Message) []byte {
+	t.Helper()
+	var batch Batch
+	for i := range messages {
+		var buf bytes.Buffer
+		if _, err := AppendMessage(&buf, &messages[i]); err != nil {
+			t.Fatal(err)
+		}
+		batch.Add(buf.Bytes())
+	}
+	return batch.Bytes()
+}
+
+// Guards against a message type or field that is lost on the way, such as a time without its nanoseconds or a
+// field without a key, and against decoded values that share memory with the reader's buffer.
+func TestRoundTripOfEveryMessage(t *testing.T) {
+	want := everyMessage()
+	reader := NewReader(bytes.NewReader(encodeAll(t, want...)))
+	frame, err := reader.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []broker.Message
+	kinds := map[Kind]bool{}
+	err = Decode(frame, func(kind Kind, _ int, m broker.Message) {
+		got = append(got, m)
+		kinds[kind] = true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(frame)
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if len(kinds) != int(KindCount)-1 || len(kinds) != len(want) || kinds[KindNone] {
+		t.Errorf("got kinds %v, want %d without none", kinds, KindCount-1)
+	}
+}
+
+// Guards against frames that a receiver would refuse, and against messages lost between two frames of a batch.
+func TestBatchSplitsIntoFramesWithinLimits(t *testing.T) {
+	tests := []struct {
+		name     string
+		body     int
+		messages int
+		frames   int
+	}{
+		{name: "by size", body: 30 << 10, messages: 5, frames: 3},
+		{name: "by number", body: 0, messages: MaxMessages + 1, frames: 2},
+		{name: "one above the target", body: 2 * TargetFrame, messages: 2, frames: 2},
+	}
+	for _, test := range tests {
+		messages := make([]broker.Message, test.messages)
+		for i := range messages {
+			messages[i].ConfigFetch = &broker.ConfigFetch{Revision: broker.Revision(i)}
+			if test.body > 0 {
+				messages[i] = broker.Message{SubRequest: &broker.SubRequest{
+					Attempt: uint32(i), Body: make([]byte, test.body),
+				}}
+			}
+		}
+		reader := NewReader(bytes.NewReader(encodeAll(t, messages...)))
+		frames, next := 0, 0
+		for ; ; frames++ {
+			frame, err := reader.Next()
+			if err != nil {
+				break
+			}
+			err = Decode(frame, func(_ Kind, _ int, got broker.Message) {
+				if !reflect.DeepEqual(got, messages[next]) {
+					t.Fatalf("%s: message %d differs", test.name, next)
+				}
+				next++
+			})
+			if err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+		}
+		if frames != test.frames || next != test.messages {
+			t.Errorf("%s: got %d frames, %d messages, want %d, %d", test.name, frames, next, test.frames,
+				test.messages)
+		}
+	}
+}
+
+// Guards against senders that emit what no receiver accepts.
+func TestAppendMessageRefuses(t *testing.T) {
+	beyond := time.Date(12000, 1, 1, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name    string
+		message broker.Message
+		want    ErrorKind
+	}{
+		{"empty", broker.Message{}, KindInvalid},
+		{"two fields", broker.Message{Cancel: &broker.Cancel{}, Heartbeat: &broker.Heartbeat{}}, KindInvalid},
+		{"too large", broker.Message{Config: &broker.ConfigObject{Value: make([]byte, MaxFrame)}}, KindTooLarge},
+		{"time", broker.Message{Release: &broker.Release{Claims: []broker.ShardClaims{{Fence: beyond}}}}, KindInvalid},
+	}
+	for _, test := range tests {
+		buf := bytes.NewBufferString("kept")
+		_, err := AppendMessage(buf, &test.message)
+		var got *Error
+		if !errors.As(err, &got) || got.Kind != test.want || buf.String() != "kept" {
+			t.Errorf("%s: got %v and %d bytes, want kind %s and an unchanged buffer", test.name, err, buf.Len(),
+				test.want)
+		}
+	}
+}
+
+var malformed = []string{
+	"", "990000", "990001", "990001a0", "990001a101a101", "990001a20ca0", "990002a10aa10105",
+	"990001a10aa1010500",                         // a byte after the last message
+	"990001a20aa101050aa10106",                   // the same key twice
+	"990001a109a103819bffffffffffffffff",         // an array of 2^64-1 elements
+	"990001a109a10381a2021b7fffffffffffffff03f6", // a number as a time
+	"990001a103a10e" + strings.Repeat("81", 40),
+	"990001a104a10981a102fb7ff8000000000000", // NaN as a score
+	"9f990001a10aa10105",
+}
+
+// Guards against frames that a peer of another version or with bad memory sends being taken as messages.
+func TestDecodeRefusesMalformedFrames(t *testing.T) {
+	for _, text := range malformed {
+		frame, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got *Error
+		if err := Decode(frame, func(Kind, int, broker.Message) {}); !errors.As(err, &got) {
+			t.Errorf("%s: got %v, want an error", text, err)
+		}
+	}
+	var got *Error
+	if _, err := NewReader(bytes.NewReader([]byte{0xff, 0, 0, 0})).Next(); !errors.As(err, &got) ||
+		got.Kind != KindTooLarge {
+		t.Errorf("got %v, want kind %s", err, KindTooLarge)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range everyMessage() {
+		f.Add(encodeAll(f, m)[lengthSize:])
+	}
+	f.Add(encodeAll(f, everyMessage()...)[lengthSize:])
+	for _, text := range malformed {
+		frame, _ := hex.DecodeString(text)
+		f.Add(frame)
+	}
+	decode := func(frame []byte) (messages []broker.Message, err error) {
+		err = Decode(frame, func(_ Kind, _ int, m broker.Message) { messages = append(messages, m) })
+		return messages, err
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		first, err := decode(frame)
+		if err != nil {
+			return
+		}
+		encoded := encodeAll(t, first...)
+		var second []broker.Message
+		reader := NewReader(bytes.NewReader(encoded))
+		for {
+			next, err := reader.Next()
+			if err != nil {
+				break
+			}
+			messages, err := decode(next)
+			if err != nil {
+				t.Fatalf("could not decode what was encoded from %x: %v", frame, err)
+			}
+			second = append(second, messages...)
+		}
+		// Values are compared as encoded, since a time zone or an empty list has several forms in memory.
+		if again := encodeAll(t, second...); len(first) != len(second) || !bytes.Equal(encoded, again) {
+			t.Errorf("got %x, want %x", again, encoded)
+		}
+	})
+}
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -25,11 +25,11 @@
 
 // Query is a caller's request as accepted by an entry.
 type Query struct {
-	RequestID string          `json:"requestId"`
-	Kind      string          `json:"kind"`
-	Key       string          `json:"key,omitempty"`
-	Limit     int             `json:"limit,omitempty"`
-	Body      json.RawMessage `json:"body,omitempty"`
+	RequestID string          `json:"requestId" cbor:"1,keyasint"`
+	Kind      string          `json:"kind" cbor:"2,keyasint"`
+	Key       string          `json:"key,omitempty" cbor:"3,keyasint,omitempty"`
+	Limit     int             `json:"limit,omitempty" cbor:"4,keyasint,omitempty"`
+	Body      json.RawMessage `json:"body,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Hit is one scored result of a backend server.
@@ -42,27 +42,27 @@
 
 // MissingShard names a shard without an answer and the reason.
 type MissingShard struct {
-	Shard  ShardName `json:"shard"`
-	Reason Reason    `json:"reason"`
+	Shard  ShardName `json:"shard" cbor:"1,keyasint"`
+	Reason Reason    `json:"reason" cbor:"2,keyasint"`
 }
 
 // Coverage states how many of the shards of a query answered.
 type Coverage struct {
-	ShardsTotal    int            `json:"shardsTotal"`
-	ShardsAnswered int            `json:"shardsAnswered"`
-	Missing        []MissingShard `json:"missing,omitempty"`
+	ShardsTotal    int            `json:"shardsTotal" cbor:"1,keyasint"`
+	ShardsAnswered int            `json:"shardsAnswered" cbor:"2,keyasint"`
+	Missing        []MissingShard `json:"missing,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Answer is what an entry returns to the caller.
 type Answer struct {
-	RequestID string   `json:"requestId"`
-	Status    Status   `json:"status"`
-	Reason    Reason   `json:"reason,omitempty"`
-	Snapshot  Snapshot `json:"snapshot,omitempty"`
-	Revision  Revision `json:"revision,omitempty"`
-	Coverage  Coverage `json:"coverage"`
-	Hits      []Hit    `json:"hits,omitempty"`
-	Entries   []string `json:"entries,omitempty"`
+	RequestID string   `json:"requestId" cbor:"1,keyasint"`
+	Status    Status   `json:"status" cbor:"2,keyasint"`
+	Reason    Reason   `json:"reason,omitempty" cbor:"3,keyasint,omitempty"`
+	Snapshot  Snapshot `json:"snapshot,omitempty" cbor:"4,keyasint,omitempty"`
+	Revision  Revision `json:"revision,omitempty" cbor:"5,keyasint,omitempty"`
+	Coverage  Coverage `json:"coverage" cbor:"6,keyasint"`
+	Hits      []Hit    `json:"hits,omitempty" cbor:"7,keyasint,omitempty"`
+	Entries   []string `json:"entries,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // SubRequest is one attempt at one shard, sent by an entry to the owner of a backend server.
