Keep the connection cap when dials and exchanges are cancelled

Cause: a server with a cap of 4 saw 5 connections: a dial given up by its request had been accepted, and a late interruption ended the wait for the server's side of a close. Change: a dial goes on after its request and its connection becomes idle; an interruption has no effect on a close.

--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -35,6 +35,7 @@
 
 	mu          sync.Mutex
 	interrupted bool
+	shutting    bool
 }
 
 func newConn(socket net.Conn) *conn {
@@ -78,7 +79,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
-	_ = c.SetDeadline(longAgo)
+	if !c.shutting {
+		_ = c.SetDeadline(longAgo)
+	}
 }
 
 // expect sets the time until which the next byte has to arrive, unless the exchange was interrupted.
@@ -116,10 +119,13 @@
 
 // shut closes the connection after the server has closed its side or the time is over.
 func (c *conn) shut(linger time.Duration) {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger > 0 && half.CloseWrite() == nil {
-		if c.SetDeadline(time.Now().Add(linger)) == nil {
-			_, _ = io.Copy(io.Discard, c.Conn)
-		}
+	// An interruption that arrives late must not cut the wait short.
+	c.mu.Lock()
+	c.shutting = true
+	err := c.SetDeadline(time.Now().Add(linger))
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil && half.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	_ = c.Close()
 }
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -57,7 +57,7 @@
 			p.live++
 			address := p.address
 			p.mu.Unlock()
-			return p.open(ctx, address)
+			return p.openFor(ctx, address)
 		}
 		if len(p.idle) > 0 {
 			p.discard(p.pop())
@@ -92,19 +92,43 @@
 	return c
 }
 
+// opened is the result of a dial.
+type opened struct {
+	conn *conn
+	err  error
+}
+
+// openFor dials a connection that is already counted. A dial goes on when ctx ends, and its connection becomes an idle
+// one: the server may have accepted it already, so that giving it up would not take it off the server's count.
+func (p *pool) openFor(ctx context.Context, address netip.AddrPort) (*conn, error) {
+	results := make(chan opened, 1)
+	go func() {
+		c, err := p.open(address)
+		results <- opened{c, err}
+	}()
+	select {
+	case result := <-results:
+		return result.conn, result.err
+	case <-ctx.Done():
+		go func() {
+			if result := <-results; result.err == nil {
+				p.release(result.conn)
+			}
+		}()
+		return nil, &Error{Op: "open connection", Kind: KindInterrupted, Err: context.Cause(ctx)}
+	}
+}
+
 // open dials a connection that is already counted.
-func (p *pool) open(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *pool) open(address netip.AddrPort) (*conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	socket, err := p.dial(dialContext, "tcp", address.String())
+	socket, err := p.dial(ctx, "tcp", address.String())
 	if err != nil {
 		p.mu.Lock()
 		p.redialAt = time.Now().Add(redialPause)
 		p.mu.Unlock()
 		p.closed()
-		if ctx.Err() != nil {
-			return nil, &Error{Op: "open connection", Kind: KindInterrupted, Err: context.Cause(ctx)}
-		}
 		p.counters.unreachable.Inc()
 		return nil, &Error{Op: "open connection", Kind: KindUnreachable,
 			Err: errors.Wrap(broker.ErrUnreachable, err.Error())}
@@ -182,7 +206,7 @@
 }
 
 func (p *pool) openAhead(address netip.AddrPort) {
-	c, err := p.open(context.Background(), address)
+	c, err := p.open(address)
 	p.mu.Lock()
 	p.opening--
 	stale := err == nil && p.address != address
