Add a model check of leases and adoption

Change: a simulated cell (clock rates, message and store faults, pauses, restarts) under random faults, with the invariants of one holder per server, owners in a quiet period and no lower revision; two planted faults.

--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -200,7 +199,7 @@
 			return err
 		}
 		result = base
-		next := advance(base, change, ok && confirmed == base.Generation)
+		next := leaser.Advance(base, change, ok && confirmed == base.Generation)
 		if next == nil {
 			return nil
 		}
@@ -224,29 +223,6 @@
 	}, func() { j.adoptMembership(result) })
 }
 
-// advance returns the next member list, or nil where change has nothing to do and there is nothing to drop.
-func advance(
-	base broker.Membership, change func([]broker.Member) []broker.Member, confirmed bool,
-) *broker.Membership {
-	members := change(slices.Clone(base.Members))
-	slices.SortFunc(members, func(a, b broker.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	if slices.Equal(members, base.Members) && (!confirmed || len(base.Earlier) == 0) {
-		return nil
-	}
-	next := &broker.Membership{
-		Members: members, Previous: base.Members, PreviousGeneration: base.Generation,
-	}
-	if !confirmed && base.Generation != 0 {
-		next.Earlier = slices.Clone(base.Earlier)
-		if base.PreviousGeneration != 0 {
-			next.Earlier = append(next.Earlier, broker.PastMembers{
-				Generation: base.PreviousGeneration, Members: base.Previous,
-			})
-		}
-	}
-	return next
-}
-
 func decode(object broker.Object) (broker.Membership, error) {
 	var membership broker.Membership
 	if object.Version == 0 {
--- /dev/null
+++ b/internal/broker/coordination/leaser/list.go
@@ -0,0 +1,32 @@
+package leaser
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// Advance returns the member list that follows base, or nil where change has nothing to do and there is nothing
+// to drop. Confirmed is whether the writer knows that all generations before base have ended.
+func Advance(
+	base broker.Membership, change func([]broker.Member) []broker.Member, confirmed bool,
+) *broker.Membership {
+	members := change(slices.Clone(base.Members))
+	slices.SortFunc(members, func(a, b broker.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if slices.Equal(members, base.Members) && (!confirmed || len(base.Earlier) == 0) {
+		return nil
+	}
+	next := &broker.Membership{
+		Members: members, Previous: base.Members, PreviousGeneration: base.Generation,
+	}
+	if !confirmed && base.Generation != 0 {
+		next.Earlier = slices.Clone(base.Earlier)
+		if base.PreviousGeneration != 0 {
+			next.Earlier = append(next.Earlier, broker.PastMembers{
+				Generation: base.PreviousGeneration, Members: base.Previous,
+			})
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/broker/coordination/leaser/model_test.go
@@ -0,0 +1,183 @@
+package leaser
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	faultTime = 25 * time.Second
+	// recoverTime is the stated bound without a lost majority: links, detection, rejoin, lease and wait.
+	recoverTime = 15 * time.Second
+	// recoverLost adds the confirmation by the host list.
+	recoverLost = recoverTime + 35*time.Second
+)
+
+// fault applies one random fault for a while.
+func (s *sim) fault(t *rapid.T) {
+	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
+	length := time.Duration(rapid.IntRange(50, 7000).Draw(t, "milliseconds")) * time.Millisecond
+	undo := func(run func()) { s.at(length, run) }
+	kind := rapid.SampledFrom([]string{
+		"pause", "pause", "crash", "leave", "partition", "oneWay", "loss", "delay", "storeDown", "storeSlow",
+		"lostReply", "config", "stale", "restartAll",
+	}).Draw(t, "kind")
+	s.note("fault %s at n%d for %v", kind, n.host, length)
+	switch kind {
+	case "pause":
+		n.pausedUntil = max(n.pausedUntil, s.now+length)
+	case "crash":
+		s.crash(n, undo)
+	case "leave":
+		n.leaving = true
+		s.on(n, 0, func() { s.step(n, Leave{}) })
+		undo(func() { s.crash(n, func(run func()) { s.at(time.Second/10, run) }) })
+	case "partition":
+		side := rapid.IntRange(1, 1<<len(s.nodes)-2).Draw(t, "side")
+		s.partition(side, true)
+		undo(func() { s.partition(side, false) })
+	case "oneWay":
+		link := [2]int{n.host, rapid.IntRange(0, len(s.nodes)-1).Draw(t, "other")}
+		s.cut[link] = true
+		undo(func() { delete(s.cut, link) })
+	case "loss":
+		s.loss, s.duplicate = 0.4, 0.3
+		undo(func() { s.loss, s.duplicate = 0, 0 })
+	case "delay":
+		s.delay = length / 2
+		undo(func() { s.delay = 5 * time.Millisecond })
+	case "storeDown":
+		s.storeDown = true
+		undo(func() { s.storeDown = false })
+	case "storeSlow":
+		s.storeSlow = length / 4
+		undo(func() { s.storeSlow = 5 * time.Millisecond })
+	case "lostReply":
+		s.lostReply = 0.7
+		undo(func() { s.lostReply = 0 })
+	case "config":
+		s.submit(rapid.Bool().Draw(t, "valid"))
+	case "stale":
+		object := s.config
+		s.on(n, length, func() { s.offer(n, object) })
+	case "restartAll":
+		for _, each := range s.nodes {
+			s.crash(each, undo)
+		}
+	}
+}
+
+func (s *sim) partition(side int, on bool) {
+	for a := range s.nodes {
+		for b := range s.nodes {
+			if side>>a&1 != side>>b&1 {
+				if on {
+					s.cut[[2]int{a, b}] = true
+				} else {
+					delete(s.cut, [2]int{a, b})
+				}
+			}
+		}
+	}
+}
+
+func (s *sim) crash(n *simNode, undo func(func())) {
+	if !n.alive {
+		return
+	}
+	n.alive = false
+	undo(func() {
+		if !n.alive && n.listed {
+			s.boot(n)
+		}
+	})
+}
+
+// session runs random faults and then a quiet period, and returns what went wrong.
+func session(t *rapid.T, settings Settings, plant func(*Core, Key, time.Time) bool) *sim {
+	nodes := rapid.IntRange(2, 7).Draw(t, "nodes")
+	s := newSim(nodes, rapid.Uint64().Draw(t, "seed"), settings)
+	s.mayPlant = plant
+	// A cell that has started is more telling than one that starts, but both are tried.
+	if rapid.IntRange(0, 3).Draw(t, "started") > 0 {
+		s.run(10 * time.Second)
+	}
+	begin := s.now
+	for s.broken == "" && s.now < begin+faultTime {
+		s.fault(t)
+		s.run(s.now + time.Duration(rapid.IntRange(10, 4000).Draw(t, "gap"))*time.Millisecond)
+	}
+	limit := recoverTime
+	if lost := rapid.IntRange(0, nodes-1).Draw(t, "lost"); lost > 0 {
+		limit = recoverLost
+		for _, n := range s.nodes[:lost] {
+			n.alive = false
+			s.at(time.Second, func() { n.listed = false })
+		}
+	}
+	s.run(s.now + 8*time.Second) // the longest fault ends
+	s.run(s.now + limit)
+	return s
+}
+
+func (s *sim) verify() error {
+	if s.broken != "" {
+		return fmt.Errorf("%s", s.broken)
+	}
+	if unowned := s.unowned(); len(unowned) > 0 {
+		return fmt.Errorf("nobody dispatches to %v after the quiet period", unowned)
+	}
+	// While the store holds an invalid configuration, a cell that has restarted has none.
+	for _, n := range s.nodes {
+		if n.alive && s.config.Revision == s.lastValid && n.adopter.Revision() != s.lastValid {
+			return fmt.Errorf("%s has revision %d, want %d", n.self.ID, n.adopter.Revision(), s.lastValid)
+		}
+	}
+	return nil
+}
+
+// TestModel guards against two members dispatching to one server, against a server without an owner in a quiet
+// period, and against a configuration revision that goes back.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := session(t, DefaultSettings(), nil)
+		if err := s.verify(); err != nil {
+			for _, line := range s.trace[max(0, len(s.trace)-80):] {
+				t.Log(line)
+			}
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestModelFindsPlants guards against a model that cannot see the faults that it is there for.
+func TestModelFindsPlants(t *testing.T) {
+	noWait := DefaultSettings()
+	noWait.Wait = 0
+	plants := []struct {
+		name     string
+		settings Settings
+		may      func(*Core, Key, time.Time) bool
+	}{
+		{name: "no check before dispatch", settings: DefaultSettings(), may: func(c *Core, key Key, _ time.Time) bool {
+			return c.view.Load().keys[key].may
+		}},
+		{name: "no takeover wait", settings: noWait},
+	}
+	for _, plant := range plants {
+		t.Run(plant.name, func(t *testing.T) {
+			const attempts = 200
+			for i := range attempts {
+				generate := rapid.Custom(func(t *rapid.T) *sim { return session(t, plant.settings, plant.may) })
+				if s := generate.Example(i); s.broken != "" {
+					t.Logf("found in session %d: %s", i, s.broken)
+					return
+				}
+			}
+			t.Errorf("got no violation in %d sessions, want one", attempts)
+		})
+	}
+}
--- /dev/null
+++ b/internal/broker/coordination/leaser/sim_test.go
@@ -0,0 +1,431 @@
+package leaser
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/adopter"
+	"github.com/yuccarock/yuccarock/internal/broker/state/holder"
+	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+// simStart is the wall time at which sessions begin.
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const simServers = 6
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := len(*q) - 1
+	event := (*q)[last]
+	*q = (*q)[:last]
+	return event
+}
+
+// simNode is one host with its current process.
+type simNode struct {
+	host        int
+	incarnation int
+	self        broker.Member
+	core        *Core
+	adopter     *adopter.Adopter
+	highest     broker.Revision
+	membership  broker.Membership
+	rate        float64
+	alive       bool
+	listed      bool // in the host list
+	leaving     bool
+	pausedUntil time.Duration
+	backlog     []func()
+	writing     bool
+	nextWrite   time.Duration
+	nextRead    time.Duration
+}
+
+// sim is a cell of processes with clocks of different rates, a network and a store, under one virtual time.
+type sim struct {
+	settings Settings
+	random   *rand.Rand
+	queue    simQueue
+	order    int
+	now      time.Duration
+	nodes    []*simNode
+
+	delay     time.Duration // largest message delay
+	loss      float64
+	duplicate float64
+	cut       map[[2]int]bool // one-way links that lose everything
+
+	storeDown bool
+	storeSlow time.Duration
+	lostReply float64
+	members   broker.Object
+	decoded   broker.Membership
+	config    broker.ConfigObject
+	lastValid broker.Revision
+
+	// mayPlant replaces the check before dispatch in tests that must find the fault.
+	mayPlant func(core *Core, key Key, now time.Time) bool
+	broken   string
+	trace    []string
+	holders  map[broker.ServerName]int
+	gapStart map[broker.ServerName]time.Duration
+	gaps     map[broker.ServerName]time.Duration // longest time without a holder
+}
+
+func newSim(nodes int, seed uint64, settings Settings) *sim {
+	s := &sim{
+		settings: settings, random: rand.New(rand.NewPCG(seed, 1)), delay: 5 * time.Millisecond,
+		cut: make(map[[2]int]bool), storeSlow: 5 * time.Millisecond,
+		holders: make(map[broker.ServerName]int), gapStart: make(map[broker.ServerName]time.Duration),
+		gaps: make(map[broker.ServerName]time.Duration),
+	}
+	for host := range nodes {
+		// The fastest clock gains 5% on the slowest one.
+		n := &simNode{host: host, rate: 1 + 0.05*float64(host)/float64(max(nodes-1, 1)), listed: true}
+		s.nodes = append(s.nodes, n)
+		s.boot(n)
+		s.at(time.Duration(s.random.Int64N(int64(settings.Tick))), func() { s.tick(n) })
+	}
+	s.submit(true)
+	return s
+}
+
+func (s *sim) at(after time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{at: s.now + after, order: s.order, run: run})
+}
+
+func (s *sim) run(until time.Duration) {
+	for s.broken == "" && len(s.queue) > 0 && s.queue[0].at <= until {
+		event := heap.Pop(&s.queue).(simEvent)
+		s.now = event.at
+		event.run()
+		s.check()
+	}
+	s.now = until
+}
+
+func (s *sim) clock(n *simNode) time.Time {
+	return simStart.Add(time.Duration(float64(s.now) * n.rate))
+}
+
+func (s *sim) boot(n *simNode) {
+	n.alive, n.leaving, n.writing, n.listed = true, false, false, true
+	n.membership, n.backlog, n.pausedUntil = broker.Membership{}, nil, 0
+	n.adopter = adopter.New(simValidate, holder.New[indexer.Table](nil))
+	n.highest = 0
+	s.incarnate(n)
+}
+
+func (s *sim) incarnate(n *simNode) {
+	n.incarnation++
+	n.self = broker.Member{
+		ID:   broker.NodeID(fmt.Sprintf("n%d/%d", n.host, n.incarnation)),
+		Zone: fmt.Sprintf("z%d", n.host%3),
+		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n.host)}), 9000),
+	}
+	n.core = New(s.settings, n.self, simStart)
+	n.core.SetRevision(n.adopter.Revision())
+	s.step(n, Adopt{Membership: n.membership})
+	resources := make([]Resource, simServers)
+	for i := range resources {
+		resources[i] = Resource{Key: simKey(i), Zone: fmt.Sprintf("z%d", i%3)}
+	}
+	s.step(n, Assign{Resources: resources})
+}
+
+func simKey(i int) Key { return Key{Server: broker.ServerName(fmt.Sprintf("s%d", i))} }
+
+func simValidate(value []byte) (*configurator.Config, error) {
+	if string(value) == "invalid" {
+		return nil, errors.New("planted")
+	}
+	return &configurator.Config{Name: string(value)}, nil
+}
+
+// on runs a function at a node after a delay, later where the node is paused, never in another incarnation.
+func (s *sim) on(n *simNode, after time.Duration, run func()) {
+	id := n.self.ID
+	guarded := func() {
+		if n.alive && n.self.ID == id {
+			run()
+		}
+	}
+	s.at(after, func() {
+		if s.now < n.pausedUntil {
+			n.backlog = append(n.backlog, guarded)
+		} else {
+			guarded()
+		}
+	})
+}
+
+func (s *sim) tick(n *simNode) {
+	s.at(s.settings.Tick, func() { s.tick(n) })
+	if !n.alive || s.now < n.pausedUntil {
+		return
+	}
+	backlog := n.backlog
+	n.backlog = nil
+	// A process that wakes may see its timer or its messages first.
+	if s.random.IntN(2) == 0 {
+		s.step(n, Tick{})
+	}
+	for _, run := range backlog {
+		run()
+		s.check()
+	}
+	s.step(n, Tick{})
+	member := listed(n.membership.Members, n.self.ID)
+	switch {
+	case s.now < n.nextWrite || n.writing:
+	case n.leaving && member:
+		s.write(n, n.self.ID)
+	case !n.leaving && !member && n.core.Lifecycle() != LeaseReleased:
+		s.write(n)
+	}
+	if s.now >= n.nextRead {
+		n.nextRead = s.now + time.Second/2
+		s.read(n)
+	}
+}
+
+func (s *sim) step(n *simNode, event Event) {
+	for _, action := range n.core.Step(s.clock(n), event) {
+		s.act(n, action)
+	}
+	if revision := n.adopter.Revision(); revision < n.highest {
+		s.fail("%s went back from revision %d to %d", n.self.ID, n.highest, revision)
+	} else {
+		n.highest = revision
+	}
+}
+
+func (s *sim) act(n *simNode, action Action) {
+	switch a := action.(type) {
+	case Send:
+		s.send(n, a.To, func(to *simNode) {
+			r := Received{From: n.self.ID, Heartbeat: a.Message.Heartbeat, Reply: a.Message.HeartbeatReply}
+			s.step(to, r)
+			if r.Heartbeat != nil && to.adopter.Wants(r.Heartbeat.Revision) {
+				s.send(to, r.From, func(from *simNode) {
+					if object := from.adopter.Object(); object != nil {
+						s.send(from, to.self.ID, func(to *simNode) { s.offer(to, *object) })
+					}
+				})
+			}
+		})
+	case PushMembership:
+		membership := n.membership
+		s.send(n, a.To, func(to *simNode) { s.adopt(to, membership) })
+	case Handover:
+		from := n.self.ID
+		s.send(n, a.To, func(to *simNode) {
+			s.step(to, Released{From: from, Generation: a.Generation, Keys: a.Keys})
+		})
+	case Rewrite:
+		if !n.writing {
+			s.write(n, a.Remove...)
+		}
+	case Rejoin:
+		s.on(n, 300*time.Millisecond, func() { s.incarnate(n) })
+	case Gained:
+		s.note("%s gained %s planned=%v", n.self.ID, names(a.Keys), a.Planned)
+	case Lost:
+		s.note("%s lost %s planned=%v", n.self.ID, names(a.Keys), a.Planned)
+	case Changed:
+		s.note("%s lease %s -> %s", n.self.ID, a.From, a.To)
+	}
+}
+
+func names(keys []Key) string {
+	list := make([]string, len(keys))
+	for i, key := range keys {
+		list[i] = string(key.Server)
+	}
+	slices.Sort(list)
+	return strings.Join(list, ",")
+}
+
+func (s *sim) note(format string, args ...any) {
+	s.trace = append(s.trace, fmt.Sprintf("%7.2f ", s.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.broken == "" {
+		s.broken = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// send delivers to the process that a node ID names, with the current faults of the network.
+func (s *sim) send(from *simNode, to broker.NodeID, deliver func(*simNode)) {
+	var host, incarnation int
+	if _, err := fmt.Sscanf(string(to), "n%d/%d", &host, &incarnation); err != nil {
+		panic(err)
+	}
+	if s.cut[[2]int{from.host, host}] || s.random.Float64() < s.loss {
+		return
+	}
+	target := s.nodes[host]
+	if target.self.ID != to {
+		return
+	}
+	s.on(target, time.Duration(s.random.Int64N(int64(s.delay))), func() { deliver(target) })
+	if s.random.Float64() < s.duplicate {
+		s.on(target, time.Duration(s.random.Int64N(int64(3*s.delay))), func() { deliver(target) })
+	}
+}
+
+func (s *sim) adopt(n *simNode, membership broker.Membership) {
+	if membership.Generation > n.membership.Generation {
+		n.membership = membership
+		s.step(n, Adopt{Membership: membership})
+	}
+}
+
+func (s *sim) offer(n *simNode, object broker.ConfigObject) {
+	_, _ = n.adopter.Offer(object)
+	n.core.SetRevision(n.adopter.Revision())
+}
+
+// submit puts a configuration into the store.
+func (s *sim) submit(valid bool) {
+	s.config = broker.ConfigObject{Revision: s.config.Revision + 1, Value: []byte("invalid")}
+	if valid {
+		s.config.Value, s.lastValid = []byte("valid"), s.config.Revision
+	}
+}
+
+func (s *sim) latency() time.Duration {
+	return s.storeSlow/2 + time.Duration(s.random.Int64N(int64(s.storeSlow)))
+}
+
+// read fetches both objects, and the host list where the core needs it.
+func (s *sim) read(n *simNode) {
+	if s.storeDown {
+		return
+	}
+	membership, config := s.decoded, s.config
+	hosts := make([]broker.Host, 0, len(s.nodes))
+	for _, other := range s.nodes {
+		if other.listed {
+			hosts = append(hosts, broker.Host{Address: other.self.Peer.Addr(), State: broker.HostLive})
+		}
+	}
+	s.on(n, s.latency(), func() {
+		s.adopt(n, membership)
+		s.offer(n, config)
+		if n.core.NeedsHosts() {
+			s.step(n, HostList{Hosts: hosts})
+		}
+	})
+}
+
+// write removes members, or joins where there are none to remove and the node is not listed.
+func (s *sim) write(n *simNode, remove ...broker.NodeID) {
+	n.writing, n.nextWrite = true, s.now+time.Duration(100+s.random.IntN(400))*time.Millisecond
+	done := func(result broker.Membership) {
+		n.writing = false
+		s.adopt(n, result)
+	}
+	failed := func() { s.on(n, time.Second, func() { n.writing = false }) }
+	confirmed, ok := n.core.Confirmed()
+	self := n.self
+	change := func(members []broker.Member) []broker.Member {
+		members = slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
+		if len(remove) == 0 && !listed(members, self.ID) {
+			members = slices.DeleteFunc(members, func(m broker.Member) bool { return m.Peer == self.Peer })
+			members = append(members, self)
+		}
+		return members
+	}
+	s.on(n, s.latency(), func() {
+		if s.storeDown {
+			failed()
+			return
+		}
+		base := s.decoded
+		next := Advance(base, change, ok && confirmed == base.Generation)
+		if next == nil {
+			done(base)
+			return
+		}
+		// The write reaches the store even if the writer is paused or dead by then.
+		s.at(s.latency(), func() {
+			if s.storeDown || s.decoded.Generation != base.Generation {
+				failed()
+				return
+			}
+			next.Generation = base.Generation + 1
+			s.decoded = *next
+			s.note("generation %d by %s with %d members", next.Generation, self.ID, len(next.Members))
+			if s.random.Float64() < s.lostReply {
+				failed()
+				return
+			}
+			s.on(n, s.latency(), func() { done(*next) })
+		})
+	})
+}
+
+// check fails the session where two members may dispatch to one server, and measures times without any.
+func (s *sim) check() {
+	for i := range simServers {
+		key := simKey(i)
+		var holders []broker.NodeID
+		for _, n := range s.nodes {
+			now := s.clock(n)
+			may := n.core.May(key, now)
+			if s.mayPlant != nil {
+				may = s.mayPlant(n.core, key, now)
+			}
+			if n.alive && may {
+				holders = append(holders, n.self.ID)
+			}
+		}
+		if len(holders) > 1 {
+			s.fail("%s has the holders %v", key.Server, holders)
+		}
+		if since, gap := s.gapStart[key.Server]; len(holders) > 0 && gap {
+			s.gaps[key.Server] = max(s.gaps[key.Server], s.now-since)
+			delete(s.gapStart, key.Server)
+		} else if len(holders) == 0 && !gap {
+			s.gapStart[key.Server] = s.now
+		}
+		s.holders[key.Server] = len(holders)
+	}
+}
+
+// unowned returns the servers to which no member may dispatch.
+func (s *sim) unowned() []broker.ServerName {
+	var list []broker.ServerName
+	for i := range simServers {
+		if server := simKey(i).Server; s.holders[server] == 0 {
+			list = append(list, server)
+		}
+	}
+	return list
+}
