--- a/pkg/configurator/configurator_test.go
+++ b/pkg/configurator/configurator_test.go
@@ -138,13 +138,8 @@
 	{`"canary":"unseen"`, `"canary":""`, "$.requestKinds[2].canary structure"},
 }
 
-// Guards against a fault that passes, is reported without its path or hides another, and against a schema that
-// accepts or refuses other files than the parser's structural rules.
-func TestProblemsAndSchema(t *testing.T) {
-	base, err := os.ReadFile("testdata/small.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+func compileSchema(t *testing.T) *jsonschema.Schema {
+	t.Helper()
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema()))
 	if err != nil {
 		t.Fatal(err)
@@ -153,7 +148,67 @@
 	if err := compiler.AddResource("schema.json", document); err != nil {
 		t.Fatal(err)
 	}
-	compiled := compiler.MustCompile("schema.json")
+	return compiler.MustCompile("schema.json")
+}
+
+// Guards against a schema that differs from the parser in a field: each value of the file in turn is removed and
+// replaced by values of every type.
+func TestSchemaAgreesOnEveryField(t *testing.T) {
+	base, err := os.ReadFile("testdata/small.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	compiled := compileSchema(t)
+	var root any
+	if err := json.Unmarshal(base, &root); err != nil {
+		t.Fatal(err)
+	}
+	compare := func(path string, value any) {
+		input, _ := json.Marshal(root)
+		_, err := Parse(input)
+		structural := slices.ContainsFunc(ProblemsOf(err), func(p Problem) bool { return p.Kind == KindStructure })
+		instance, _ := jsonschema.UnmarshalJSON(bytes.NewReader(input))
+		if err := compiled.Validate(instance); (err != nil) != structural {
+			t.Errorf("%s = %v: parser finds structural problem: %v, schema: %v", path, value, structural, err)
+		}
+	}
+	replacements := []any{nil, true, -1, 0, 1, 1.5, 1e6, 1e17, "", "x", "1s", "in", "key", "/", []any{}, []any{7}, map[string]any{}}
+	var walk func(node any, path string)
+	walk = func(node any, path string) {
+		switch node := node.(type) {
+		case map[string]any:
+			for name, value := range node {
+				walk(value, path+"."+name)
+				for _, replacement := range replacements {
+					node[name] = replacement
+					compare(path+"."+name, replacement)
+				}
+				delete(node, name)
+				compare(path+"."+name, "removed")
+				node[name] = value
+			}
+		case []any:
+			for i, value := range node {
+				walk(value, fmt.Sprintf("%s[%d]", path, i))
+				for _, replacement := range replacements {
+					node[i] = replacement
+					compare(fmt.Sprintf("%s[%d]", path, i), replacement)
+				}
+				node[i] = value
+			}
+		}
+	}
+	walk(root, "$")
+}
+
+// Guards against a fault that passes, is reported without its path or hides another, and against a schema that
+// accepts or refuses other files than the parser's structural rules.
+func TestProblemsAndSchema(t *testing.T) {
+	base, err := os.ReadFile("testdata/small.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	compiled := compileSchema(t)
 	for _, change := range changes {
 		input := strings.Replace(string(base), change.old, change.new, 1)
 		if input == string(base) && change.old != change.new {
