Add peer links over QUIC

Nodes exchange sub-requests, answers and heartbeats. The linker keeps one QUIC connection with mutual TLS to each peer, dialed by the node whose ID sorts first, with separate streams for control, requests and answers. Messages that arrive during a write leave together in the next batch. A message above 64 KB goes on a stream of its own.

The node that sorts second dials after a fallback delay, since a joining node may be unknown to its peer. The dialer states its name first and the acceptor sends nothing before it has checked that name against the certificate. Peer certificates are verified at each handshake against the authorities in use, and session tickets are off, so that replaced keys take effect without a restart.

--- /dev/null
+++ b/internal/broker/transport/linker/linker_test.go
@@ -0,0 +1,371 @@
+package linker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/protocol/encoder"
+	"github.com/yuccarock/yuccarock/internal/standin/certifier"
+)
+
+// Guards against lost, repeated or reordered messages of one stream, and against overlapping handler calls.
+func TestOrderUnderConcurrentSenders(t *testing.T) {
+	const senders, each, large = 8, 300, 3
+	a, b := newPair(t, Options{})
+	var group sync.WaitGroup
+	for _, pair := range [][2]*node{{a, b}, {b, a}} {
+		for sender := range senders {
+			group.Go(func() {
+				for i := range each {
+					for _, m := range []broker.Message{
+						subRequest(fmt.Sprint(sender), i, i%97), subAnswer(fmt.Sprint(sender), i, i%89),
+					} {
+						if err := pair[0].Send(pair[1].self.ID, m); err != nil {
+							t.Error(err)
+						}
+					}
+				}
+			})
+		}
+		for i := range large {
+			if err := pair[0].Send(pair[1].self.ID, subRequest("large", i, 300<<10)); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	group.Wait()
+	for _, n := range []*node{a, b} {
+		n.awaitMessages(t, 2*senders*each+large)
+		next, got := map[string]uint32{}, 0
+		for _, m := range n.messages {
+			stream, attempt := "", uint32(0)
+			switch {
+			case m.SubAnswer != nil:
+				stream, attempt = "answer "+m.SubAnswer.RequestID, m.SubAnswer.Attempt
+			case m.SubRequest.RequestID == "large":
+				got++
+				continue
+			default:
+				stream, attempt = "request "+m.SubRequest.RequestID, m.SubRequest.Attempt
+			}
+			if attempt != next[stream] {
+				t.Fatalf("%s: got %d, want %d", stream, attempt, next[stream])
+			}
+			next[stream]++
+		}
+		if got != large || len(next) != 2*senders {
+			t.Errorf("got %d large messages and %d senders, want %d and %d", got, len(next), large, 2*senders)
+		}
+	}
+}
+
+// Guards against heartbeats that wait behind a long queue of answers.
+func TestHeartbeatOvertakesAnswers(t *testing.T) {
+	const answers = 60
+	a, b := newPair(t, Options{})
+	for i := range answers {
+		if err := a.Send("b/1", subAnswer("a", i, 60<<10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := a.Send("b/1", heartbeat(1)); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitMessages(t, answers+1)
+	if b.messages[answers].Heartbeat != nil {
+		t.Error("the heartbeat came after all answers")
+	}
+}
+
+// Guards against a link that stays in use for long after packets stopped to arrive, or that does not come back.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	authority := newAuthority(t, "authority")
+	a := newNode(t, "a/1", authority, "a", Options{})
+	b := newNode(t, "b/1", authority, "b", Options{})
+	path := newForwarder(t, b.Address())
+	a.SetPeers([]broker.Member{{ID: "b/1", Peer: path.address()}})
+	a.awaitEvents(t, "up b/1")
+	b.awaitEvents(t, "up a/1")
+
+	// The idle timeout of QUIC is at least three times the probe timeout, which falls with each round trip.
+	for i := range 20 {
+		if err := errors.Join(a.Send("b/1", heartbeat(i)), b.Send("a/1", heartbeat(i))); err != nil {
+			t.Fatal(err)
+		}
+		a.awaitMessages(t, i+1)
+		b.awaitMessages(t, i+1)
+	}
+	path.silent.Store(true)
+	silentSince := time.Now()
+	a.awaitEvents(t, "up b/1", "down b/1")
+	b.awaitEvents(t, "up a/1", "down a/1")
+	took := time.Since(silentSince)
+	t.Logf("the silent link was found by both ends after %v", took)
+	// An owner that is not heard from is excluded after 2 s, so a link must be found silent before.
+	if limit := 2 * time.Second; took >= limit {
+		t.Errorf("got %v until the link was down, want less than %v", took, limit)
+	}
+	if err := a.Send("b/1", heartbeat(1)); kindOf(err) != KindNoLink {
+		t.Errorf("got %v, want kind %s", err, KindNoLink)
+	}
+
+	path.silent.Store(false)
+	a.awaitEvents(t, "up b/1", "down b/1", "up b/1")
+	if err := a.Send("b/1", heartbeat(2)); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitMessages(t, 21)
+}
+
+// dialRaw opens a connection as a peer would, says the name and returns how the connection ended.
+func dialRaw(t *testing.T, target netip.AddrPort, own *Identity, hello broker.NodeID) (streams int, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	config, err := dialerTLS(NewKeyring(own), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.VerifyConnection = nil
+	if own.Certificate.Certificate == nil {
+		config.Certificates = nil
+	}
+	conn, err := quic.DialAddr(ctx, target.String(), config, Options{}.withDefaults().quic())
+	if err != nil {
+		return 0, err
+	}
+	defer conn.CloseWithError(0, "")
+	if stream, err := conn.OpenUniStream(); err == nil {
+		data, _ := encoder.AppendHello([]byte{byte(laneControl)}, hello)
+		stream.Write(data)
+	}
+	for {
+		if _, err := conn.AcceptUniStream(ctx); err != nil {
+			return streams, err
+		}
+		streams++
+		conn.CloseWithError(0, "")
+	}
+}
+
+// Guards against a link, a message or any stream for a peer that does not prove its name.
+func TestUnprovenPeerGetsNothing(t *testing.T) {
+	trusted, other := newAuthority(t, "trusted"), newAuthority(t, "other")
+	tests := []struct {
+		name     string
+		identity *Identity
+		hello    broker.NodeID
+		streams  int
+	}{
+		{"valid", identity(t, trusted, "a"), "a/1", 1},
+		{"no certificate", &Identity{}, "a/1", 0},
+		{"other authority", identity(t, other, "a"), "a/1", 0},
+		{"other name", identity(t, trusted, "mallory"), "a/1", 0},
+		{"no name", identity(t, trusted, "a"), "/1", 0},
+		{"the node's own ID", identity(t, trusted, "b"), "b/1", 0},
+	}
+	for _, test := range tests {
+		b := newNode(t, "b/1", trusted, "b", Options{})
+		got, err := dialRaw(t, b.Address(), test.identity, test.hello)
+		if got != test.streams || (got == 0 && kindOf(err) == KindUnreachable) {
+			t.Errorf("%s: got %d streams, then %v; want %d streams and a refusal", test.name, got, err, test.streams)
+		}
+		if err := b.Close(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if up := len(b.events) > 0; up != (test.streams > 0) {
+			t.Errorf("%s: got events %v", test.name, b.events)
+		}
+	}
+}
+
+// Guards against a dialer that talks to whoever listens at the address of a member.
+func TestDialerRefusesUnprovenPeer(t *testing.T) {
+	trusted, other := newAuthority(t, "trusted"), newAuthority(t, "other")
+	tests := []struct {
+		name      string
+		authority *certifier.Authority
+		node      string
+		id        broker.NodeID
+		want      ErrorKind
+	}{
+		{"other authority", other, "b", "b/1", KindUntrusted},
+		{"other name", trusted, "mallory", "b/1", KindWrongNode},
+		{"other incarnation", trusted, "b", "b/2", KindWrongNode},
+	}
+	for _, test := range tests {
+		a := newNode(t, "a/1", trusted, "a", Options{})
+		b := newNode(t, test.id, test.authority, test.node, Options{})
+		p := a.acquire("b/1")
+		err := a.dial(t.Context(), p, broker.Member{ID: "b/1", Peer: b.Address()})
+		a.releasePeer(p)
+		if kindOf(err) != test.want || len(a.events) > 0 {
+			t.Errorf("%s: got %v and events %v, want kind %s", test.name, err, a.events, test.want)
+		}
+	}
+}
+
+// Guards against rotated keys that need a restart, or that cut links which are up.
+func TestKeyRotation(t *testing.T) {
+	a, b := newPair(t, Options{})
+	old, next := a.keys, newAuthority(t, "next")
+	oldIdentity, _ := old.Identity()
+	a.keys.Replace(identity(t, next, "a"))
+	b.keys.Replace(identity(t, next, "b"))
+	if err := a.Send("b/1", heartbeat(1)); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitMessages(t, 1)
+	b.awaitEvents(t, "up a/1")
+
+	(*a.links.Load())["b/1"].close(codeClosed, "")
+	a.awaitEvents(t, "up b/1", "down b/1", "up b/1")
+	state := (*a.links.Load())["b/1"].conn.ConnectionState()
+	if got := state.TLS.PeerCertificates[0].Issuer.CommonName; got != "next" {
+		t.Errorf("got a certificate of authority %q, want %q", got, "next")
+	}
+	if streams, err := dialRaw(t, b.Address(), oldIdentity, "a/1"); streams != 0 || kindOf(err) != KindUntrusted {
+		t.Errorf("old key: got %d streams, then %v; want a refusal", streams, err)
+	}
+}
+
+// Guards against messages of a new incarnation under the old ID, and against a link that outlives its process.
+func TestReplacedIncarnation(t *testing.T) {
+	authority := newAuthority(t, "authority")
+	first := newNode(t, "a/1", authority, "a", Options{})
+	b := newNode(t, "b/1", authority, "b", Options{})
+	first.SetPeers([]broker.Member{b.member()})
+	first.awaitEvents(t, "up b/1")
+	b.awaitEvents(t, "up a/1")
+	var from broker.NodeID
+	note := func(id broker.NodeID, _ broker.Message) { from = id }
+	b.handle.Store(&note)
+	if err := first.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitEvents(t, "up a/1", "down a/1")
+
+	second := newNode(t, "a/2", authority, "a", Options{})
+	second.SetPeers([]broker.Member{b.member()})
+	second.awaitEvents(t, "up b/1")
+	if err := second.Send("b/1", heartbeat(1)); err != nil {
+		t.Fatal(err)
+	}
+	b.awaitMessages(t, 1)
+	b.awaitEvents(t, "up a/1", "down a/1", "up a/2")
+	if from != "a/2" {
+		t.Errorf("got a message from %s, want a/2", from)
+	}
+	if err := b.Send("a/1", heartbeat(1)); kindOf(err) != KindNoLink {
+		t.Errorf("got %v, want kind %s", err, KindNoLink)
+	}
+}
+
+// Guards against two links to one peer when it dials again before its old connection is found dead.
+func TestNewerConnectionReplacesOlder(t *testing.T) {
+	authority := newAuthority(t, "authority")
+	b := newNode(t, "b/1", authority, "b", Options{})
+	again := newNode(t, "a/1", authority, "a", Options{})
+	config, _ := dialerTLS(again.keys, "b")
+	conn, err := quic.DialAddr(t.Context(), b.Address().String(), config, again.options.quic())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, _ := conn.OpenUniStream()
+	data, _ := encoder.AppendHello([]byte{byte(laneControl)}, "a/1")
+	stream.Write(data)
+	b.awaitEvents(t, "up a/1")
+	again.SetPeers([]broker.Member{b.member()})
+	b.awaitEvents(t, "up a/1", "down a/1", "up a/1")
+	var closed *quic.ApplicationError
+	if <-conn.Context().Done(); !errors.As(context.Cause(conn.Context()), &closed) ||
+		closed.ErrorCode != codeReplaced {
+		t.Errorf("got %v, want code %d", context.Cause(conn.Context()), codeReplaced)
+	}
+}
+
+// Guards against a sender that blocks, and against a refused message that arrives all the same.
+func TestFullQueueRefuses(t *testing.T) {
+	const queue = 64
+	a, b := newPair(t, Options{QueueMessages: queue})
+	gate := make(chan struct{})
+	hold := func(broker.NodeID, broker.Message) { <-gate }
+	b.handle.Store(&hold)
+	accepted := 0
+	for {
+		err := a.Send("b/1", subRequest("a", accepted, 16<<10))
+		if kindOf(err) == KindQueueFull {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted++
+	}
+	// The control stream has a queue of its own.
+	if err := a.Send("b/1", heartbeat(1)); err != nil {
+		t.Errorf("got %v for a heartbeat", err)
+	}
+	close(gate)
+	b.awaitMessages(t, accepted+1)
+	if err := a.Send("b/1", heartbeat(2)); err != nil {
+		t.Fatal(err)
+	}
+	b.await(t, "second heartbeat", func() bool {
+		last := b.messages[len(b.messages)-1].Heartbeat
+		return last != nil && last.Sequence == 2
+	})
+	if got, want := len(b.messages), accepted+2; got != want || accepted < queue {
+		t.Errorf("got %d messages, want %d, at least %d", got, want, queue)
+	}
+}
+
+// Guards against messages that a planned stop cuts off, and against a peer that no member list names.
+func TestCloseFlushesAndJoinerDials(t *testing.T) {
+	const count = 2000
+	authority := newAuthority(t, "authority")
+	a := newNode(t, "a/1", authority, "a", Options{})
+	joiner := newNode(t, "b/1", authority, "b", Options{FallbackDelay: time.Millisecond})
+	joiner.SetPeers([]broker.Member{a.member()})
+	joiner.awaitEvents(t, "up a/1")
+	for i := range count {
+		if err := joiner.Send("a/1", subAnswer("b", i, 100)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := joiner.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	a.awaitEvents(t, "up b/1", "down b/1")
+	if got := len(a.messages); got != count {
+		t.Errorf("got %d messages, want %d", got, count)
+	}
+}
+
+// Guards against two nodes that dial each other at once and close each other's link for ever.
+func TestBothDial(t *testing.T) {
+	authority := newAuthority(t, "authority")
+	options := Options{FallbackDelay: time.Nanosecond, MinBackoff: time.Millisecond}
+	for range 20 {
+		a := newNode(t, "a/1", authority, "a", options)
+		b := newNode(t, "b/1", authority, "b", options)
+		a.greet, b.greet = true, true
+		b.SetPeers([]broker.Member{a.member()})
+		a.SetPeers([]broker.Member{b.member()})
+		a.awaitMessages(t, 1)
+		b.awaitMessages(t, 1)
+		a.Close(t.Context())
+		b.Close(t.Context())
+	}
+}
+
+var _ broker.Peers = (*Linker)(nil)
--- /dev/null
+++ b/internal/broker/transport/linker/node_test.go
@@ -0,0 +1,213 @@
+package linker
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/standin/certifier"
+)
+
+// waitLimit only bounds a test that fails; it decides nothing.
+const waitLimit = 20 * time.Second
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// node is a linker with a handler that records what it is told.
+type node struct {
+	*Linker
+	keys *Keyring
+	set  *metrics.Set
+	// handle is called for each message, before it is recorded.
+	handle atomic.Pointer[func(from broker.NodeID, m broker.Message)]
+	greet  bool // whether LinkUp sends a heartbeat
+	busy   atomic.Bool
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	events   []string // "up <node>" and "down <node>"
+	messages []broker.Message
+}
+
+func (n *node) record(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *node) LinkUp(id broker.NodeID) {
+	if n.greet {
+		_ = n.Send(id, heartbeat(1))
+	}
+	n.record(func() { n.events = append(n.events, "up "+string(id)) })
+}
+
+func (n *node) LinkDown(id broker.NodeID) {
+	n.record(func() { n.events = append(n.events, "down "+string(id)) })
+}
+
+func (n *node) HandleMessage(from broker.NodeID, m broker.Message) {
+	if !n.busy.CompareAndSwap(false, true) {
+		panic("calls of the handler overlap")
+	}
+	if handle := n.handle.Load(); handle != nil {
+		(*handle)(from, m)
+	}
+	n.busy.Store(false)
+	n.record(func() { n.messages = append(n.messages, m) })
+}
+
+// await waits until ready returns true, which is called with n.mu held after each change.
+func (n *node) await(t testing.TB, what string, ready func() bool) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	for {
+		n.mu.Lock()
+		done, changed := ready(), n.changed
+		n.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			t.Fatalf("no %s; events %v, %d messages", what, n.events, len(n.messages))
+		}
+	}
+}
+
+func (n *node) awaitEvents(t testing.TB, want ...string) {
+	t.Helper()
+	n.await(t, fmt.Sprint(want), func() bool { return len(n.events) >= len(want) })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !slices.Equal(n.events, want) {
+		t.Fatalf("got events %v, want %v", n.events, want)
+	}
+}
+
+func (n *node) awaitMessages(t testing.TB, count int) {
+	t.Helper()
+	n.await(t, fmt.Sprint(count, " messages"), func() bool { return len(n.messages) >= count })
+}
+
+func (n *node) member() broker.Member { return broker.Member{ID: n.self.ID, Peer: n.Address()} }
+
+func identity(t testing.TB, authority *certifier.Authority, name string) *Identity {
+	t.Helper()
+	issued, err := authority.Issue(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := ParseIdentity(issued.CertificatePEM, issued.KeyPEM, authority.PEM())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+func newAuthority(t testing.TB, name string) *certifier.Authority {
+	t.Helper()
+	authority, err := certifier.New(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
+}
+
+// newNode returns a node that listens, with a certificate for the name.
+func newNode(t testing.TB, id broker.NodeID, authority *certifier.Authority, name string, options Options) *node {
+	t.Helper()
+	n := &node{keys: NewKeyring(identity(t, authority, name)), set: metrics.NewSet(), changed: make(chan struct{})}
+	n.Linker = New(broker.Member{ID: id}, n.keys, n, wallClock{}, n.set, slog.New(slog.DiscardHandler), options)
+	if err := n.Listen(loopback); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.Close(t.Context()) })
+	return n
+}
+
+// newPair returns the linked nodes a/1 and b/1.
+func newPair(t testing.TB, options Options) (a, b *node) {
+	t.Helper()
+	authority := newAuthority(t, "authority")
+	a = newNode(t, "a/1", authority, "a", options)
+	b = newNode(t, "b/1", authority, "b", options)
+	a.SetPeers([]broker.Member{b.member()})
+	a.awaitEvents(t, "up b/1")
+	b.awaitEvents(t, "up a/1")
+	return a, b
+}
+
+func heartbeat(sequence int) broker.Message {
+	return broker.Message{Heartbeat: &broker.Heartbeat{Sequence: uint64(sequence)}}
+}
+
+func subRequest(sender string, attempt, body int) broker.Message {
+	return broker.Message{SubRequest: &broker.SubRequest{
+		RequestID: sender, Attempt: uint32(attempt), Body: make([]byte, body),
+	}}
+}
+
+func subAnswer(sender string, attempt, body int) broker.Message {
+	hits := []broker.Hit{{ID: "hit", Fields: make([]byte, body)}}
+	return broker.Message{SubAnswer: &broker.SubAnswer{RequestID: sender, Attempt: uint32(attempt), Hits: hits}}
+}
+
+// forwarder relays UDP between one client and a target, unless it is silent.
+type forwarder struct {
+	front, back *net.UDPConn
+	client      atomic.Pointer[netip.AddrPort]
+	silent      atomic.Bool
+}
+
+func newForwarder(t testing.TB, target netip.AddrPort) *forwarder {
+	t.Helper()
+	f := &forwarder{}
+	for _, socket := range []**net.UDPConn{&f.front, &f.back} {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+		if err != nil {
+			t.Fatal(err)
+		}
+		*socket = conn
+		t.Cleanup(func() { conn.Close() })
+	}
+	go f.relay(f.front, func(data []byte, from netip.AddrPort) {
+		f.client.Store(&from)
+		f.back.WriteToUDPAddrPort(data, target)
+	})
+	go f.relay(f.back, func(data []byte, _ netip.AddrPort) {
+		f.front.WriteToUDPAddrPort(data, *f.client.Load())
+	})
+	return f
+}
+
+func (f *forwarder) relay(source *net.UDPConn, pass func([]byte, netip.AddrPort)) {
+	buffer := make([]byte, 64<<10)
+	for {
+		size, from, err := source.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if !f.silent.Load() {
+			pass(buffer[:size], from)
+		}
+	}
+}
+
+func (f *forwarder) address() netip.AddrPort { return f.front.LocalAddr().(*net.UDPAddr).AddrPort() }
