--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -55,6 +55,9 @@
 type Handler interface {
 	// OwnershipChanged reports servers to which this process may dispatch from now on, or no longer.
 	OwnershipChanged(gained, lost []broker.ServerName, planned bool)
+	// ClaimsGained reports shards whose claim point this process is from now on; after a change that was not
+	// planned, the claims of the previous claim point are lost.
+	ClaimsGained(gained []ShardID, planned bool)
 	// BuildRelease returns the state that the next owner of servers and claim points needs; this process may
 	// no longer dispatch to them.
 	BuildRelease(servers []broker.ServerName, claims []ShardID) broker.Release
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -24,10 +24,14 @@
 	case leaser.PushMembership:
 		j.pushMembership(a.To)
 	case leaser.Gained:
-		if servers, _ := split(a.Keys); len(servers) > 0 {
+		servers, claims := split(a.Keys)
+		if len(servers) > 0 {
 			j.log.Info("gained servers", "servers", len(servers), "planned", a.Planned)
 			j.handler.OwnershipChanged(servers, nil, a.Planned)
 		}
+		if len(claims) > 0 {
+			j.handler.ClaimsGained(claims, a.Planned)
+		}
 	case leaser.Lost:
 		if servers, _ := split(a.Keys); len(servers) > 0 {
 			j.log.Info("lost servers", "servers", len(servers), "planned", a.Planned)
--- a/internal/broker/message.go
+++ b/internal/broker/message.go
@@ -48,6 +48,7 @@
 
 // Forward passes a whole query to the claim point of its shard.
 type Forward struct {
+	Sequence    uint64        `cbor:"5,keyasint"` // repeated in the answer
 	Query       Query         `cbor:"1,keyasint"`
 	Remaining   time.Duration `cbor:"2,keyasint"`
 	Revision    Revision      `cbor:"3,keyasint"`
@@ -56,8 +57,8 @@
 
 // ForwardAnswer returns the answer to a forwarded query.
 type ForwardAnswer struct {
-	RequestID string `cbor:"1,keyasint"`
-	Answer    Answer `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"1,keyasint"`
+	Answer   Answer `cbor:"2,keyasint"`
 }
 
 // Claim records that a request ID of a non-idempotent request was accepted, with its answer once known.
--- /dev/null
+++ b/internal/broker/state/recorder/doc.go
@@ -0,0 +1,2 @@
+// Package recorder keeps a bounded set of recently added keys.
+package recorder
