Add the client of the platform's store

A write may take effect although its reply is lost, so a failed call states what is known: a write is repeated only where the store did not take it, and PutSettled determines the outcome from the history by a submission ID. All calls draw on a token bucket and retries never wait for a token, so that an outage does not multiply the load on the store.

--- /dev/null
+++ b/internal/broker/transport/storer/storer_test.go
@@ -0,0 +1,289 @@
+package storer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/standin/storeserver"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+const key = "members/vestland"
+
+// pass lets the time of the synctest bubble pass.
+func pass(d time.Duration) { <-time.After(d) }
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// pipeListener connects client and server in memory, so that the time of synctest passes at once.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.done:
+		return nil, errors.New("connection refused")
+	}
+}
+
+type fixture struct {
+	*Storer
+	server *storeserver.Server
+	// refuse makes further dials fail.
+	refuse func()
+}
+
+// run calls test with a storer and a store in a bubble of synctest.
+func run(t *testing.T, name string, options Options, test func(t *testing.T, f *fixture)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			listener := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+			f := &fixture{server: storeserver.New(wallClock{})}
+			server := &http.Server{Handler: f.server}
+			go server.Serve(listener)
+			transport := &http.Transport{DialContext: listener.dial}
+			f.refuse = func() { server.Close(); transport.CloseIdleConnections() }
+			defer f.refuse()
+			base := &url.URL{Scheme: "http", Host: "store"}
+			f.Storer = New(base, transport, wallClock{}, metrics.NewSet(), options)
+			test(t, f)
+		})
+	})
+}
+
+// Guards against a write that is repeated although it may have taken effect, against a wrong statement of what is
+// known after each failure, and against retries of what cannot succeed.
+func TestPutStatesWhatIsKnown(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(f *fixture)
+		key     string
+		value   string
+		version uint64
+		want    ErrorKind
+		calls   uint64
+		written bool
+	}{
+		{name: "new", calls: 1, written: true},
+		{name: "present", prepare: func(f *fixture) { f.server.Put(key, nil) }, want: KindConflict, calls: 1},
+		{name: "absent", version: 7, want: KindConflict, calls: 1},
+		{name: "too large", value: strings.Repeat("x", MaxValue+1), want: KindTooLarge},
+		{name: "key", key: "../faults", want: KindInvalid},
+		{name: "down", prepare: func(f *fixture) { f.server.SetFaults(storeserver.Faults{Down: true}) },
+			want: KindUnavailable, calls: DefaultAttempts},
+		{name: "refused", prepare: func(f *fixture) { f.refuse() }, want: KindUnavailable},
+		{name: "lost reply", prepare: func(f *fixture) { f.server.SetFaults(storeserver.Faults{LoseReplies: 1}) },
+			want: KindUnknownOutcome, calls: 1, written: true},
+		{name: "slow", prepare: func(f *fixture) {
+			f.server.SetFaults(storeserver.Faults{Latency: configurator.Duration(3 * time.Second)})
+		}, want: KindUnknownOutcome, calls: 1, written: true},
+	}
+	for _, test := range tests {
+		run(t, test.name, Options{}, func(t *testing.T, f *fixture) {
+			if test.prepare != nil {
+				test.prepare(f)
+			}
+			_, before := f.server.Current(key)
+			version, err := f.Put(t.Context(), valueOr(test.key, key), []byte(test.value), test.version)
+			if got := KindOf(err); got != test.want {
+				t.Errorf("got %v, want kind %q", err, test.want)
+			}
+			pass(time.Minute) // lets a slow write take effect
+			if got := f.server.Calls().Put; got != test.calls {
+				t.Errorf("got %d calls, want %d", got, test.calls)
+			}
+			_, after := f.server.Current(key)
+			if got := after > before; got != test.written || (err == nil && version != after) {
+				t.Errorf("got written %t, version %d; want %t, version %d", got, version, test.written, after)
+			}
+		})
+	}
+}
+
+// Guards against a false success or a false failure told to an operator after a lost reply.
+func TestPutSettledFindsTheOutcome(t *testing.T) {
+	submission := func(value []byte) string { return strings.TrimSuffix(string(value), "!") }
+	latency := configurator.Duration(1500 * time.Millisecond)
+	tests := []struct {
+		name   string
+		faults storeserver.Faults
+		// meanwhile runs 100 ms after the write was sent.
+		meanwhile func(f *fixture)
+		want      ErrorKind
+		current   string
+	}{
+		{name: "lost reply", faults: storeserver.Faults{LoseReplies: 1}, current: "mine"},
+		{name: "lost replies", faults: storeserver.Faults{LoseReplies: 3}, current: "mine"},
+		{name: "late effect", faults: storeserver.Faults{Latency: latency}, meanwhile: func(f *fixture) {
+			f.server.SetFaults(storeserver.Faults{})
+		}, current: "mine"},
+		{name: "overwritten", faults: storeserver.Faults{LoseReplies: 1}, meanwhile: func(f *fixture) {
+			f.server.Put(key, []byte("other"))
+		}, current: "other"},
+		{name: "overtaken", faults: storeserver.Faults{Latency: latency}, meanwhile: func(f *fixture) {
+			f.server.Put(key, []byte("other"))
+			f.server.SetFaults(storeserver.Faults{})
+		}, want: KindConflict, current: "other"},
+		{name: "down until the deadline", faults: storeserver.Faults{LoseReplies: 1}, meanwhile: func(f *fixture) {
+			f.server.SetFaults(storeserver.Faults{Down: true})
+		}, want: KindUnknownOutcome, current: "mine"},
+	}
+	for _, test := range tests {
+		options := Options{MinBackoff: 300 * time.Millisecond, MaxBackoff: 300 * time.Millisecond}
+		run(t, test.name, options, func(t *testing.T, f *fixture) {
+			base := f.server.Put(key, []byte("base"))
+			f.server.SetFaults(test.faults)
+			if test.meanwhile != nil {
+				time.AfterFunc(100*time.Millisecond, func() { test.meanwhile(f) })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			version, err := f.PutSettled(ctx, key, []byte("mine"), base, submission)
+			if got := KindOf(err); got != test.want {
+				t.Errorf("got %v, want kind %q", err, test.want)
+			}
+			pass(time.Minute)
+			f.server.SetFaults(storeserver.Faults{})
+			if value, _ := f.server.Current(key); string(value) != test.current {
+				t.Errorf("got %q, want %q", value, test.current)
+			}
+			if err == nil {
+				object, _ := f.GetVersion(t.Context(), key, version)
+				if string(object.Value) != "mine" {
+					t.Errorf("got version %d with %q, want mine", version, object.Value)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a watch that returns an old version, misses a change, or calls the store in a tight loop.
+func TestWatch(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults storeserver.Faults
+		change time.Duration // when the object changes; zero for never
+		want   ErrorKind
+		after  time.Duration // when the watch returns
+		calls  uint64
+	}{
+		{name: "change", change: time.Second, after: time.Second, calls: 1},
+		{name: "long wait", change: time.Minute, after: time.Minute, calls: 3},
+		{name: "lag", faults: storeserver.Faults{WatchLag: configurator.Duration(7 * time.Second)},
+			change: 10 * time.Second, after: 17 * time.Second, calls: 1},
+		{name: "repeated events", faults: storeserver.Faults{RepeatEvents: 70}, change: 15 * time.Second,
+			after: 15 * time.Second, calls: 71},
+		{name: "context ends", after: time.Hour, want: KindUnavailable, calls: 144},
+	}
+	for _, test := range tests {
+		run(t, test.name, Options{}, func(t *testing.T, f *fixture) {
+			base := f.server.Put(key, nil)
+			pass(time.Minute)
+			f.server.SetFaults(test.faults)
+			if test.change > 0 {
+				time.AfterFunc(test.change, func() { f.server.Put(key, []byte("next")) })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+			defer cancel()
+			begin := time.Now()
+			object, err := f.Watch(ctx, key, base)
+			took := time.Since(begin).Round(time.Millisecond)
+			if KindOf(err) != test.want || took != test.after || (err == nil && string(object.Value) != "next") {
+				t.Errorf("got %q, %v after %v; want kind %q after %v", object.Value, err, took, test.want, test.after)
+			}
+			if got := f.server.Calls().Watch; got != test.calls {
+				t.Errorf("got %d calls, want %d", got, test.calls)
+			}
+		})
+	}
+}
+
+// Guards against retries that multiply the load on a store in an outage.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	run(t, "down", Options{Rate: 2, Burst: 5}, func(t *testing.T, f *fixture) {
+		f.server.SetFaults(storeserver.Faults{Down: true})
+		begin := time.Now()
+		for range 50 {
+			if _, err := f.Get(t.Context(), key); KindOf(err) != KindUnavailable {
+				t.Errorf("got %v, want kind %s", err, KindUnavailable)
+			}
+		}
+		limit := uint64(5 + 2*time.Since(begin).Seconds() + 1)
+		if got := f.server.Calls().Get; got > limit || got < 50 {
+			t.Errorf("got %d calls, want 50 to %d", got, limit)
+		}
+		var text strings.Builder
+		f.set.WritePrometheus(&text)
+		want := fmt.Sprintf("yuccarock_store_calls_total{kind=%q,result=%q} %d", "get", "unavailable",
+			f.server.Calls().Get)
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("got %s, want %s", text.String(), want)
+		}
+	})
+}
+
+// Guards against reads that disagree with the published protocol.
+func TestReads(t *testing.T) {
+	run(t, "reads", Options{}, func(t *testing.T, f *fixture) {
+		hosts := []broker.Host{{Address: netip.MustParseAddr("10.0.0.7"), State: broker.HostLeaving}}
+		f.server.SetHosts(hosts)
+		if got, err := f.Hosts(t.Context()); err != nil || !reflect.DeepEqual(got, hosts) {
+			t.Errorf("got %v, %v, want %v", got, err, hosts)
+		}
+		if got, err := f.Get(t.Context(), key); err != nil || got.Version != 0 {
+			t.Errorf("got %+v, %v, want version 0", got, err)
+		}
+		first, err := f.Put(t.Context(), key, []byte("first"), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.server.Put("other", nil)
+		second, err := f.Put(t.Context(), key, []byte("second"), first)
+		if err != nil || second != first+2 {
+			t.Errorf("got version %d, %v, want %d", second, err, first+2)
+		}
+		versions, err := f.History(t.Context(), key)
+		if err != nil || len(versions) != 2 || versions[0].Version != first || versions[1].Version != second {
+			t.Errorf("got %v, %v, want versions %d and %d", versions, err, first, second)
+		}
+		for version, want := range map[uint64]string{first: "first", second: "second", second + 1: ""} {
+			if got, err := f.GetVersion(t.Context(), key, version); err != nil || string(got.Value) != want {
+				t.Errorf("version %d: got %q, %v, want %q", version, got.Value, err, want)
+			}
+		}
+	})
+}
+
+var _ broker.Store = (*Storer)(nil)
