--- a/internal/broker/coordination/deduplicator/deduplicator.go
+++ b/internal/broker/coordination/deduplicator/deduplicator.go
@@ -39,6 +39,8 @@
 	DecisionUnknown
 	// DecisionNotRun means that the claim point has no room for the claim; the request did not run.
 	DecisionNotRun
+	// DecisionElsewhere means that this node is not the claim point of the shard, which may know the ID.
+	DecisionElsewhere
 )
 
 // Decision is the result of Claim.
@@ -64,6 +66,7 @@
 }
 
 type shardClaims struct {
+	open   bool // this node is the claim point
 	fence  time.Time
 	claims map[string]*claim
 }
@@ -120,6 +123,8 @@
 		return Decision{Kind: DecisionUnknown, Reason: broker.ReasonDuplicate}, nil
 	}
 	switch {
+	case !held.open:
+		return Decision{Kind: DecisionElsewhere, Reason: broker.ReasonNotOwner}, nil
 	case now.Sub(created) > d.options.Window:
 		return Decision{Kind: DecisionUnknown, Reason: broker.ReasonExpiredID}, nil
 	case created.Before(held.fence):
@@ -155,19 +160,20 @@
 	}
 }
 
-// Fence refuses IDs of the shard that were created before at plus the clock skew, as after a takeover without the
-// predecessor's claims.
+// Fence makes this node the claim point of the shard without its predecessor's claims: IDs created before at plus the
+// clock skew are refused. A shard takes no claims before Fence or Import.
 func (d *Deduplicator) Fence(service string, shard broker.ShardName, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := d.held(shardKey{service, shard})
+	held.open = true
 	if fence := at.Add(d.options.Skew); fence.After(held.fence) {
 		held.fence = fence
 	}
 }
 
-// Export returns the claims of a shard for its next claim point, sorted by request ID, and sets a fence here, so
-// that IDs created before now are claimed only there. IDs still without an answer are outcomeUnknown there.
+// Export ends this node's time as the claim point of a shard and returns its claims for the next one, sorted by request
+// ID. IDs still without an answer are outcomeUnknown there.
 func (d *Deduplicator) Export(service string, shard broker.ShardName, now time.Time) broker.ShardClaims {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -179,13 +185,11 @@
 		exported.Claims = append(exported.Claims, broker.Claim{RequestID: id, Claimed: c.claimed, Answer: c.answer})
 	}
 	slices.SortFunc(exported.Claims, func(a, b broker.Claim) int { return strings.Compare(a.RequestID, b.RequestID) })
-	if fence := now.Add(d.options.Skew); fence.After(held.fence) {
-		held.fence = fence
-	}
+	held.open = false
 	return exported
 }
 
-// Import takes the claims that the previous claim point exported. A fence only rises: a delayed export of an earlier
+// Import makes this node the claim point with the claims that the previous one exported. A fence only rises: a delayed export of an earlier
 // claim point must not open the time that a later one covered.
 func (d *Deduplicator) Import(claims broker.ShardClaims, now time.Time) {
 	d.mu.Lock()
@@ -193,6 +197,7 @@
 	d.expire(now)
 	key := shardKey{claims.Service, claims.Shard}
 	held := d.held(key)
+	held.open = true
 	if claims.Fence.After(held.fence) {
 		held.fence = claims.Fence
 	}
--- a/internal/broker/coordination/owner/attempt.go
+++ b/internal/broker/coordination/owner/attempt.go
@@ -10,21 +10,28 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 )
 
+// trialDelay is how long the announcement of a trial is given to reach the other nodes. Two nodes that start a trial of
+// the same suspect within the latency of their link both learn of it before either runs it; without the delay,
+// simultaneous resends were seen to kill a third server.
+const trialDelay = 50 * time.Millisecond
+
 // run dispatches an admitted call and ends it.
 func (s *server) run(c *call) {
 	started := s.owner.clock.Now()
-	switch s.owner.quarantine.Try(c.sub.Fingerprint, started) {
+	switch s.owner.quarantine.Try(c.sub.Fingerprint, s.name, started) {
 	case quarantiner.Quarantined, quarantiner.OnTrial:
-		s.owner.counters.quarantined.Inc()
-		s.finish(c, broker.BackendResult{Answer: refuse(&c.sub, broker.ReasonQuarantined, 0)}, 0)
+		s.refuseQuarantined(c)
 		return
 	case quarantiner.Suspect:
 		if !c.alone {
 			s.requeue(c, started)
 			return
 		}
-		c.trial = true
-		s.report(broker.CrashReport{Fingerprint: c.sub.Fingerprint, Server: s.name, BootID: c.bootID, Trial: true})
+		if !s.claimTrial(c) {
+			s.refuseQuarantined(c)
+			return
+		}
+		started = s.owner.clock.Now()
 	}
 	if !s.permit() {
 		s.finish(c, broker.BackendResult{Answer: refuse(&c.sub, broker.ReasonLeaseLapsed, 0)}, 0)
@@ -48,6 +55,22 @@
 	s.finish(c, result, s.owner.clock.Now().Sub(started))
 }
 
+// claimTrial announces the one more run of a suspect and returns whether this node holds it.
+func (s *server) claimTrial(c *call) bool {
+	c.trial = true
+	s.report(broker.CrashReport{Fingerprint: c.sub.Fingerprint, Server: s.name, BootID: c.bootID, Trial: true})
+	select {
+	case <-time.After(trialDelay):
+	case <-c.ctx.Done():
+	}
+	return s.owner.quarantine.Holds(c.sub.Fingerprint, s.name, s.owner.clock.Now())
+}
+
+func (s *server) refuseQuarantined(c *call) {
+	s.owner.counters.quarantined.Inc()
+	s.finish(c, broker.BackendResult{Answer: refuse(&c.sub, broker.ReasonQuarantined, 0)}, 0)
+}
+
 func (s *server) serverAddress() netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +79,7 @@
 
 // requeue admits a call again, alone, because its fingerprint became a suspect while it was waiting.
 func (s *server) requeue(c *call, now time.Time) {
-	s.owner.quarantine.Abandon(c.sub.Fingerprint, 0, now)
+	s.owner.quarantine.Abandon(c.sub.Fingerprint, s.name, 0, now)
 	var e effects
 	s.mu.Lock()
 	ticket := c.ticket
@@ -134,9 +157,9 @@
 		s.owner.counters.cleared.Inc()
 		s.report(broker.CrashReport{Fingerprint: c.sub.Fingerprint, Server: s.name, BootID: c.bootID, Cleared: true})
 	case bytesSent:
-		s.owner.quarantine.Abandon(c.sub.Fingerprint, unresolvedFor, now)
+		s.owner.quarantine.Abandon(c.sub.Fingerprint, s.name, unresolvedFor, now)
 	default:
-		s.owner.quarantine.Abandon(c.sub.Fingerprint, 0, now)
+		s.owner.quarantine.Abandon(c.sub.Fingerprint, s.name, 0, now)
 	}
 }
 
--- a/internal/broker/coordination/owner/probe.go
+++ b/internal/broker/coordination/owner/probe.go
@@ -101,7 +101,7 @@
 		if crashed {
 			held.answer.Reason = broker.ReasonCrashed
 		} else if held.call.trial {
-			s.owner.quarantine.Abandon(held.call.sub.Fingerprint, unresolvedFor, now)
+			s.owner.quarantine.Abandon(held.call.sub.Fingerprint, s.name, unresolvedFor, now)
 		}
 		s.answer(held.call, held.answer)
 	}
--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -48,12 +48,13 @@
 	Entries     int           // most fingerprints kept
 }
 
-// DefaultOptions returns the bounds for production.
+// DefaultOptions returns the bounds for production. Other nodes do not learn of a trial that ends without a result, so
+// its time is some request deadlines rather than the time of a suspect.
 func DefaultOptions() Options {
 	return Options{
 		Suspected:   10 * time.Minute,
 		Quarantined: time.Hour,
-		Trial:       10 * time.Second,
+		Trial:       2 * time.Second,
 		Entries:     4096,
 	}
 }
@@ -71,6 +72,7 @@
 	convicted  bool
 	since      time.Time
 	first      crash
+	holder     broker.ServerName // server of the trial
 	trialUntil time.Time
 }
 
@@ -100,9 +102,9 @@
 	return standing(&e, now)
 }
 
-// Try claims the one more run of a suspect and returns the standing before the claim; the caller may run the
-// request for Clear and, alone, for Suspect.
-func (q *Quarantiner) Try(fingerprint broker.Fingerprint, now time.Time) Standing {
+// Try claims the one more run of a suspect for a server and returns the standing before the claim. The caller may run
+// the request for Clear; for Suspect it announces the trial, waits until the other nodes know of it, and asks Holds.
+func (q *Quarantiner) Try(fingerprint broker.Fingerprint, server broker.ServerName, now time.Time) Standing {
 	found := q.Standing(fingerprint, now)
 	if found != Suspect {
 		return found
@@ -116,18 +118,27 @@
 		if found = standing(&e, now); found != Suspect {
 			return nil
 		}
-		e.trialUntil = now.Add(q.options.Trial)
+		e.holder, e.trialUntil = server, now.Add(q.options.Trial)
 		return with(current, fingerprint, e)
 	})
 	return found
 }
 
-// Abandon ends a trial in which the request did not run or did not finish, so that it may be tried again after
-// wait; a crash that follows within that time is reported before the next trial.
-func (q *Quarantiner) Abandon(fingerprint broker.Fingerprint, wait time.Duration, now time.Time) {
+// Holds returns whether the trial that was claimed for the server may start: of claims made at the same time by
+// different nodes, the one for the server that sorts first holds.
+func (q *Quarantiner) Holds(fingerprint broker.Fingerprint, server broker.ServerName, now time.Time) bool {
+	e, ok := (*q.held.Load())[fingerprint]
+	return ok && standing(&e, now) == OnTrial && e.holder == server
+}
+
+// Abandon ends the trial of a server in which the request did not run or did not finish, so that it may be tried
+// again after wait; a crash that follows within that time is reported before the next trial.
+func (q *Quarantiner) Abandon(
+	fingerprint broker.Fingerprint, server broker.ServerName, wait time.Duration, now time.Time,
+) {
 	q.held.Update(func(current *entries) *entries {
 		e, ok := (*current)[fingerprint]
-		if !ok || e.convicted {
+		if !ok || e.convicted || e.holder != server {
 			return nil
 		}
 		e.trialUntil = now.Add(wait)
@@ -160,10 +171,10 @@
 		delete(next, report.Fingerprint)
 		return &next
 	case report.Trial:
-		if !ok || e.convicted {
+		if !ok || e.convicted || now.Before(e.trialUntil) && e.holder < report.Server {
 			return nil
 		}
-		e.trialUntil = now.Add(q.options.Trial)
+		e.holder, e.trialUntil = report.Server, now.Add(q.options.Trial)
 	case !ok:
 		e = entry{since: now, first: seen}
 	case e.convicted || e.first == seen:
--- /dev/null
+++ b/internal/broker/coordination/quarantiner/quarantiner_test.go
@@ -0,0 +1,144 @@
+package quarantiner
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func report(server broker.ServerName, alone bool) broker.CrashReport {
+	return broker.CrashReport{Fingerprint: 1, Server: server, BootID: "b1", Alone: alone}
+}
+
+// TestStanding guards against a suspect that runs twice, against a conviction by a repeated report of one crash, and
+// against suspects and convictions that stay for good.
+func TestStanding(t *testing.T) {
+	cleared, trial := report("a2", true), report("a2", true)
+	cleared.Cleared, trial.Trial = true, true
+	tests := []struct {
+		name string
+		run  func(q *Quarantiner)
+		at   time.Duration
+		want Standing
+	}{
+		{"first crash", func(q *Quarantiner) { q.Report(report("a1", false), epoch) }, 0, Suspect},
+		{"same crash twice", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(report("a1", false), epoch)
+		}, 0, Suspect},
+		{"second crash", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(report("a2", true), epoch)
+		}, 0, Quarantined},
+		{"finished alone", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(cleared, epoch)
+		}, 0, Clear},
+		{"cleared after the conviction", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(report("a2", true), epoch)
+			q.Report(cleared, epoch)
+		}, 0, Quarantined},
+		{"tried here", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Try(1, "a3", epoch)
+		}, 0, OnTrial},
+		{"tried elsewhere", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(trial, epoch)
+		}, 0, OnTrial},
+		{"trial abandoned", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Try(1, "a3", epoch)
+			q.Abandon(1, "a3", time.Second, epoch)
+		}, time.Second, Suspect},
+		{"merged and then reported", func(q *Quarantiner) {
+			q.Merge(broker.Quarantine{Suspects: []broker.Fingerprint{1}}, epoch)
+			q.Report(report("a1", false), epoch)
+		}, 0, Suspect},
+		{"merged and then a crash alone", func(q *Quarantiner) {
+			q.Merge(broker.Quarantine{Suspects: []broker.Fingerprint{1}}, epoch)
+			q.Report(report("a2", true), epoch)
+		}, 0, Quarantined},
+		{"suspect elsewhere, convicted here", func(q *Quarantiner) {
+			q.Merge(broker.Quarantine{Quarantined: []broker.Fingerprint{1}}, epoch)
+			q.Merge(broker.Quarantine{Suspects: []broker.Fingerprint{1}}, epoch)
+		}, 0, Quarantined},
+		{"suspect expired", func(q *Quarantiner) { q.Report(report("a1", false), epoch) }, 10 * time.Minute, Clear},
+		{"conviction kept", func(q *Quarantiner) {
+			q.Report(report("a1", false), epoch)
+			q.Report(report("a2", true), epoch)
+		}, 59 * time.Minute, Quarantined},
+	}
+	for _, tt := range tests {
+		q := New(DefaultOptions())
+		tt.run(q)
+		if got := q.Standing(1, epoch.Add(tt.at)); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestSimultaneousTrials guards against two nodes that both run a suspect because their announcements crossed.
+func TestSimultaneousTrials(t *testing.T) {
+	nodes := map[broker.ServerName]*Quarantiner{"a2": New(DefaultOptions()), "a3": New(DefaultOptions())}
+	for server, q := range nodes {
+		q.Report(report("a1", false), epoch)
+		if got := q.Try(1, server, epoch); got != Suspect {
+			t.Fatalf("try for %s: got %v, want suspect", server, got)
+		}
+	}
+	for server := range nodes {
+		for _, q := range nodes {
+			q.Report(broker.CrashReport{Fingerprint: 1, Server: server, Trial: true}, epoch)
+		}
+	}
+	for server, q := range nodes {
+		if got, want := q.Holds(1, server, epoch), server == "a2"; got != want {
+			t.Errorf("trial of %s: got %v, want %v", server, got, want)
+		}
+	}
+}
+
+// TestBound guards against memory that grows with crash reports, and against the loss of convictions to suspects, with
+// lookups going on.
+func TestBound(t *testing.T) {
+	options := DefaultOptions()
+	options.Entries = 10
+	q := New(options)
+	for _, server := range []broker.ServerName{"a1", "a2"} {
+		q.Report(report(server, false), epoch)
+	}
+	var work sync.WaitGroup
+	for worker := range 4 {
+		work.Go(func() {
+			for i := range 50 {
+				fingerprint := broker.Fingerprint(100*(worker+1) + i)
+				q.Report(broker.CrashReport{Fingerprint: fingerprint, Server: "a1"}, epoch.Add(time.Second))
+				q.Standing(fingerprint, epoch)
+			}
+		})
+	}
+	work.Wait()
+	list := q.List(epoch.Add(time.Second))
+	if len(list.Suspects) != 9 || !slices.Equal(list.Quarantined, []broker.Fingerprint{1}) {
+		t.Errorf("list: got %+v, want 9 suspects and 1 quarantined", list)
+	}
+}
+
+// BenchmarkStanding measures the lookup that the request path makes for each sub-request.
+func BenchmarkStanding(b *testing.B) {
+	q := New(DefaultOptions())
+	for fingerprint := range broker.Fingerprint(100) {
+		q.Report(broker.CrashReport{Fingerprint: fingerprint + 1, Server: "a1"}, epoch)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Standing(1000, epoch)
+	}
+}
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -208,15 +208,17 @@
 func (p *pool) openAhead(address netip.AddrPort) {
 	c, err := p.open(address)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.opening--
-	stale := err == nil && p.address != address
-	p.mu.Unlock()
 	switch {
 	case err != nil: // the next request or probe reports it
-	case stale:
+	case p.address != address || p.ready == 0 || p.live > p.limit:
 		p.discard(c)
 	default:
-		p.release(c)
+		// It is a reserve: connections that have carried requests are used first, because they are known to work.
+		c.reused = true
+		p.idle = append([]*conn{c}, p.idle...)
+		p.wake()
 	}
 }
 
