--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccarock/yuccarock/internal/loader"
+	"github.com/yuccarock/yuccarock/internal/server"
+	"github.com/yuccarock/yuccarock/internal/tracer"
+)
+
+// NewServe returns the command that runs the daemon of an entry host.
+func NewServe() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the daemon of an entry host",
+		Description: "Reads the settings file, joins the cell and serves callers. SIGTERM or SIGINT starts a planned stop:\n" +
+			"the node leaves the resolve answer, hands over its backend servers, finishes what is in progress and exits\n" +
+			"with 0. A second signal ends it at once.\n\nExample: yuccarock serve --settings a1.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON settings `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return serve(ctx, command.String("settings"))
+		},
+	}
+}
+
+func serve(ctx context.Context, path string) error {
+	settings, err := loader.Load(path)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	credentials, err := server.NewFileCredentials(settings.TLS)
+	if err != nil {
+		return err
+	}
+	traces, err := tracer.New(ctx, settings.Trace, settings.Node, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = traces.Shutdown(context.WithoutCancel(ctx)) }()
+	set := metrics.NewSet()
+	store, err := server.OpenStore(settings.Store, set)
+	if err != nil {
+		return err
+	}
+	daemon, err := server.New(server.Dependencies{
+		Settings: settings, Store: store, Credentials: credentials, Tracer: traces, Metrics: set, Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	stop, force, release := stopSignals(ctx)
+	defer release()
+	return daemon.Run(stop, force)
+}
+
+// stopSignals returns a context that ends with the first stop signal and one that ends with the second.
+func stopSignals(parent context.Context) (stop, force context.Context, release func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	stop, stopNow := context.WithCancel(parent)
+	force, forceNow := context.WithCancel(context.WithoutCancel(parent))
+	go func() {
+		for _, end := range []context.CancelFunc{stopNow, forceNow} {
+			select {
+			case <-signals:
+				end()
+			case <-force.Done():
+				return
+			}
+		}
+	}()
+	return stop, force, func() {
+		signal.Stop(signals)
+		stopNow()
+		forceNow()
+	}
+}
--- a/internal/broker/coordination/joiner/fakes_test.go
+++ b/internal/broker/coordination/joiner/fakes_test.go
@@ -181,6 +181,8 @@
 	return nil
 }
 
+func (n *node) ClaimsGained([]ShardID, bool) {}
+
 func (n *node) OwnershipChanged(gained, lost []broker.ServerName, planned bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/demonstrator/error.go
@@ -0,0 +1,29 @@
+package demonstrator
+
+import "fmt"
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of Error.
+const (
+	// KindSetup means that a part of the system could not be started.
+	KindSetup ErrorKind = "setup"
+	// KindTimeout means that an expected state was not reached in time.
+	KindTimeout ErrorKind = "timeout"
+	// KindViolation means that a guarantee did not hold.
+	KindViolation ErrorKind = "violation"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns what could not be done and why.
+func (e *Error) Error() string { return fmt.Sprintf("could not %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/internal/server/error.go
+++ b/internal/server/error.go
@@ -9,6 +9,7 @@
 const (
 	KindListen   ErrorKind = "listen"
 	KindKeys     ErrorKind = "keys"
+	KindSettings ErrorKind = "settings"
 	KindDeadline ErrorKind = "deadline"
 )
 
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -141,6 +141,7 @@
 
 // stateChanged announces a server of this owner to all nodes.
 func (s *Server) stateChanged(state broker.ServerState) {
+	state.Owner = s.ID()
 	s.announced.record(state.Server)
 	s.tracker.Apply(state)
 	s.broadcast(broker.Message{ServerState: &state})
@@ -171,7 +172,7 @@
 				s.peers.setPeers(s.joiner.Members())
 			}
 		case <-announce.C:
-			for _, state := range s.owner.States() {
+			for _, state := range s.ownedStates() {
 				s.announced.record(state.Server)
 				s.broadcast(broker.Message{ServerState: &state})
 			}
@@ -180,3 +181,12 @@
 		}
 	}
 }
+
+// ownedStates returns the states of owned servers under the present incarnation.
+func (s *Server) ownedStates() []broker.ServerState {
+	states, self := s.owner.States(), s.ID()
+	for i := range states {
+		states[i].Owner = self
+	}
+	return states
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -163,7 +163,9 @@
 }
 
 // Send passes a message to another node.
-func (s *Server) Send(to broker.NodeID, message broker.Message) error { return s.peers.Send(to, message) }
+func (s *Server) Send(to broker.NodeID, message broker.Message) error {
+	return s.peers.Send(to, message)
+}
 
 // HandleMessage takes one message of another node.
 func (s *Server) HandleMessage(from broker.NodeID, message broker.Message) {
@@ -230,7 +232,7 @@
 	if len(list.Suspects)+len(list.Quarantined) > 0 {
 		_ = s.Send(node, broker.Message{Quarantine: &list})
 	}
-	for _, state := range s.owner.States() {
+	for _, state := range s.ownedStates() {
 		_ = s.Send(node, broker.Message{ServerState: &state})
 	}
 	s.joiner.LinkUp(node)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -29,6 +31,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/listener"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/storer"
 	"github.com/yuccarock/yuccarock/internal/loader"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
@@ -43,6 +46,9 @@
 	announceInterval = 5 * time.Second
 	// announcedFor is how old the last announcement of a server may be for a new owner to trust it.
 	announcedFor = 10 * time.Second
+	// storeConnections covers two watches and the calls beside them.
+	storeConnections = 4
+	storeIdle        = 90 * time.Second
 	// seenFingerprints bounds the memory of requests that need no canary.
 	seenFingerprints = 1 << 16
 )
@@ -161,6 +167,16 @@
 // Entry returns the TCP address for callers.
 func (s *Server) Entry() netip.AddrPort { return s.socket.Addr().(*net.TCPAddr).AddrPort() }
 
+// OpenStore returns a client of the platform's store at a base URL; its counters go to set.
+func OpenStore(base string, set *metrics.Set) (*storer.Storer, error) {
+	parsed, err := url.Parse(base)
+	if err != nil {
+		return nil, &Error{Op: "open the store", Kind: KindSettings, Err: errors.WithStack(err)}
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdle}
+	return storer.New(parsed, transport, Clock{}, set, storer.Options{}), nil
+}
+
 // Run serves until ctx ends and then stops in the planned way; a second end, of force, stops at once.
 func (s *Server) Run(ctx, force context.Context) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
