Accept refusals without a request ID in the callers' client

Cause: an entry at its limit of concurrent requests refuses before it reads the body, so that its answer has no request ID; the client counted it as a lost connection and reported outcomeUnknown. Change: notRun without a request ID is a refusal; TestVerdicts covers it.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -230,6 +230,7 @@
 func TestVerdicts(t *testing.T) {
 	type handler = func(http.ResponseWriter, *http.Request, string)
 	overloaded, leaving := say(503, StatusNotRun, "overloaded"), say(503, StatusNotRun, reasonLeaving)
+	unread := func(w http.ResponseWriter, r *http.Request, _ string) { overloaded(w, r, "") }
 	unknown := say(504, StatusOutcomeUnknown, "silent")
 	duplicate := say(504, StatusOutcomeUnknown, reasonDuplicate)
 	wrongID := func(w http.ResponseWriter, r *http.Request, _ string) { complete(w, r, "another") }
@@ -247,6 +248,7 @@
 		{"partial", []handler{say(200, StatusPartial, "")}, StatusPartial, "", 1},
 		{"too few shards", []handler{say(503, StatusInsufficientCoverage, "")}, StatusInsufficientCoverage, "", 1},
 		{"refused for good", []handler{overloaded, overloaded, overloaded}, StatusNotRun, "", 3},
+		{"refused unread", []handler{unread, unread, unread}, StatusNotRun, "", 3},
 		{"refused once", []handler{overloaded, complete}, StatusComplete, "", 2},
 		{"lost, then refused", []handler{drop, leaving, leaving}, StatusOutcomeUnknown, "", 3},
 		{"lost, then answered", []handler{drop, complete}, StatusComplete, "", 2},
--- a/pkg/caller/run.go
+++ b/pkg/caller/run.go
@@ -154,6 +154,7 @@
 func (r *run) giveUp() (Answer, error) {
 	if r.last != nil {
 		answer := *r.last
+		answer.RequestID = r.query.RequestID
 		if r.maybeRan {
 			answer.Status = StatusOutcomeUnknown
 		}
@@ -234,7 +235,9 @@
 	if err := json.Unmarshal(data, answer); err != nil {
 		return nil, errors.Wrapf(err, "could not parse answer with status %d", resp.StatusCode)
 	}
-	if answer.RequestID != r.query.RequestID {
+	// An entry at its limit of requests refuses before it reads the request ID.
+	unread := answer.RequestID == "" && answer.Status == StatusNotRun
+	if answer.RequestID != r.query.RequestID && !unread {
 		return nil, errors.Errorf("answer belongs to request %q", answer.RequestID)
 	}
 	switch answer.Status {
