Make the admitter robust against lagging status, mixed kinds and saturation

Change: a probe gets the next free slot; warm latencies are per kind; status of a former boot ID is ignored and a stated drain outlasts a lagging status for 5 s; a server that shed is held below that concurrency for 32 answers; idle connections are closed after two silent exchanges in a row.

--- a/internal/broker/coordination/admitter/admitter.go
+++ b/internal/broker/coordination/admitter/admitter.go
@@ -12,6 +12,7 @@
 // running is one dispatched request.
 type running struct {
 	ticket  Ticket
+	kind    string
 	started time.Time
 	alone   bool
 	probe   bool
@@ -23,6 +24,7 @@
 	machine  *fsm.FSM
 	phase    broker.Phase
 	bootID   string
+	formerID string // the boot ID before, which a lagging status may still state
 
 	announced broker.ServerState // of the previous owner, until the server shows a boot ID
 
@@ -32,23 +34,28 @@
 
 	closedBy    broker.Reason // reason of the configuration for no new work
 	selfLeaving bool          // the server said that it is leaving
+	leavingAt   time.Time     // when it last said so
 
 	busy      int // slots counted for requests of the previous owner
 	busyUntil time.Time
 
 	pausedUntil time.Time // no dispatch before, after the server shed or was unreachable
 	backoff     time.Duration
+	ceiling     int // concurrency below which the server last shed, zero where it does not shed
+	relief      int // answers since the ceiling last changed
 	verifying   bool
 
 	estimate estimate
 	running  []running
 	queue    []Request
+	probe    *Request // a probe that waits for a slot
 	actions  []Action
 }
 
 // New returns an admitter of a server that was never seen.
 func New(settings Settings) *Admitter {
 	a := &Admitter{settings: settings.normalized(), phase: broker.PhaseUnknown}
+	a.estimate.warm = make(map[string]time.Duration)
 	a.limit = a.settings.ColdConcurrency
 	a.machine = newMachine(a)
 	return a
@@ -61,7 +68,11 @@
 		a.refuse(request.Ticket, reason)
 		return a.actions
 	}
-	if request.Probe || (len(a.queue) == 0 && a.startable(&request, now)) {
+	if request.Probe {
+		a.submitProbe(request, now)
+		return a.actions
+	}
+	if len(a.queue) == 0 && a.probe == nil && a.startable(&request, now) {
 		a.start(&request, now)
 		return a.actions
 	}
@@ -98,7 +109,7 @@
 		a.pump(now)
 		return a.actions
 	}
-	a.learn(result, now)
+	a.learn(ended.kind, result, now)
 	if result.Draining {
 		a.leave(now)
 	}
@@ -136,7 +147,7 @@
 // ObserveStatus takes a status answer; only boot ID and draining are believed, because load and health lag.
 func (a *Admitter) ObserveStatus(status broker.BackendStatus, now time.Time) []Action {
 	a.begin(now)
-	a.observe(status)
+	a.observe(status, now)
 	a.pump(now)
 	return a.actions
 }
@@ -155,7 +166,7 @@
 	a.verifying = false
 	switch {
 	case status != nil:
-		a.observe(*status)
+		a.observe(*status, now)
 		if !crashed {
 			a.suspectCold(1)
 		}
@@ -250,6 +261,6 @@
 
 func (a *Admitter) start(request *Request, now time.Time) {
 	a.running = append(a.running,
-		running{ticket: request.Ticket, started: now, alone: request.Alone, probe: request.Probe})
+		running{ticket: request.Ticket, kind: request.Kind, started: now, alone: request.Alone, probe: request.Probe})
 	a.actions = append(a.actions, Action{Kind: ActionDispatch, Ticket: request.Ticket})
 }
--- a/internal/broker/coordination/admitter/admitter_test.go
+++ b/internal/broker/coordination/admitter/admitter_test.go
@@ -3,13 +3,17 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
@@ -105,13 +109,13 @@
 			s := newSession(four)
 			s.submit(1, 1, time.Second)
 			s.submit(2, 1, time.Second)
-			s.probe(100) // the cold limit of one is used
+			s.probe(100) // the cold limit of one is used: it gets the next slot
 			s.after(30 * ms)
 			s.finish(1, VerdictAnswered, 30*ms, "b1")
+			s.after(ms)
+			s.finish(100, VerdictAnswered, ms, "b1") // a probe is no step of the ramp
 			s.after(30 * ms)
 			s.finish(2, VerdictAnswered, 30*ms, "b1")
-			s.probe(101)
-			s.finish(101, VerdictAnswered, ms, "b1") // a probe is no step of the ramp
 			s.answer(3, 20*ms, "b1")
 			s.answer(4, 20*ms, "b1")
 			return s
@@ -171,7 +175,13 @@
 			s.tick()
 			s.finish(4, VerdictAnswered, 10*ms, "b1")
 			s.submit(5, 1, time.Second)
-			s.submit(6, 1, time.Second)
+			s.submit(6, 1, time.Second) // below the concurrency that was refused
+			for ticket := Ticket(5); ticket < 35; ticket++ {
+				s.admitter.Finish(ticket, Result{Verdict: VerdictAnswered, Latency: 10 * ms}, s.now)
+				s.admitter.Submit(Request{Ticket: ticket + 2, Deadline: s.now.Add(time.Second)}, s.now)
+			}
+			s.finish(35, VerdictAnswered, 10*ms, "b1") // the 32nd answer since
+			s.submit(37, 1, time.Second)
 			return s
 		}},
 		{"drain", func() *session {
@@ -238,6 +248,32 @@
 			s.finish(2, VerdictAnswered, 10*ms, "b1")
 			return s
 		}},
+		{"lagging", func() *session {
+			s := warmed(twoSlots)
+			s.answer(1, 10*ms, "b2")
+			status := func(bootID string) {
+				s.note("status "+bootID, s.admitter.ObserveStatus(broker.BackendStatus{BootID: bootID}, s.now))
+			}
+			status("b1") // of the process before: neither a new boot nor an end of the drain
+			s.answer(2, 10*ms, "b2")
+			s.submit(3, 1, time.Second)
+			s.finish(3, VerdictDraining, ms, "b2")
+			status("b2")
+			s.after(5 * time.Second)
+			status("b1")
+			status("b2")
+			return s
+		}},
+		{"kinds", func() *session {
+			s := warmed(four)
+			for ticket := Ticket(1); ticket < 6; ticket++ { // a kind that is always slow is no cold start
+				request := Request{Ticket: ticket, Kind: "export", Deadline: s.now.Add(time.Second)}
+				s.note(fmt.Sprintf("submit %d export", ticket), s.admitter.Submit(request, s.now))
+				s.after(200 * ms)
+				s.finish(ticket, VerdictAnswered, 200*ms, "b1")
+			}
+			return s
+		}},
 	}
 	for _, tt := range sessions {
 		t.Run(tt.name, func(t *testing.T) {
@@ -343,6 +379,72 @@
 	}
 }
 
+// TestInvariants guards, over random sessions, against more requests at once than slots or the limit at their start,
+// work for a closed server, a suspect in company, and requests that are forgotten or decided twice.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := Settings{
+			Slots: rapid.IntRange(1, 4).Draw(t, "slots"), ColdConcurrency: 1, ColdSuccesses: 2, ColdStep: 1, QueueLimit: 5,
+		}
+		a, now, closed := New(settings), epoch, broker.ReasonNone
+		waiting, runs, alone := map[Ticket]bool{}, map[Ticket]bool{}, map[Ticket]bool{}
+		take := func(actions []Action) {
+			for _, action := range actions {
+				if action.Kind != ActionDispatch && action.Kind != ActionRefuse {
+					continue
+				}
+				if !waiting[action.Ticket] {
+					t.Fatalf("%v of ticket %d, which is not waiting", action.Kind, action.Ticket)
+				}
+				delete(waiting, action.Ticket)
+				if action.Kind == ActionRefuse {
+					continue
+				}
+				for other := range runs {
+					if alone[other] || alone[action.Ticket] {
+						t.Fatalf("ticket %d runs with %d, one of them alone", action.Ticket, other)
+					}
+				}
+				runs[action.Ticket] = true
+				if len(runs) > max(a.AnnouncedLimit(), 1) || len(runs) > settings.Slots || closed != broker.ReasonNone {
+					t.Fatalf("%d requests run at limit %d of %d slots, closed %q", len(runs), a.AnnouncedLimit(),
+						settings.Slots, closed)
+				}
+			}
+			if len(waiting) != a.Queued() || len(runs) != a.InFlight() || a.Queued() > settings.QueueLimit {
+				t.Fatalf("got %d queued and %d running, want %d and %d", a.Queued(), a.InFlight(), len(waiting), len(runs))
+			}
+		}
+		some := func(tickets map[Ticket]bool, label string) Ticket {
+			return rapid.SampledFrom(slices.Sorted(maps.Keys(tickets))).Draw(t, label)
+		}
+		for ticket := Ticket(1); ticket < 80; ticket++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * ms)
+			switch kind := rapid.IntRange(0, 9).Draw(t, "event"); {
+			case kind < 4 || len(runs) == 0 && kind < 8:
+				waiting[ticket] = true
+				alone[ticket] = rapid.IntRange(0, 9).Draw(t, "alone") == 0
+				take(a.Submit(Request{Ticket: ticket, Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+					Deadline: now.Add(time.Duration(rapid.IntRange(5, 300).Draw(t, "left")) * ms), Alone: alone[ticket]}, now))
+			case kind < 8:
+				ended := some(runs, "ended")
+				delete(runs, ended)
+				verdict := Verdict(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 2, 3, 4, 6, 7, 9, 10, 11, 12}).Draw(t, "verdict"))
+				actions := slices.Clone(a.Finish(ended, Result{Verdict: verdict, BootID: "b1"}, now))
+				take(actions)
+				if slices.ContainsFunc(actions, func(action Action) bool { return action.Kind == ActionVerify }) {
+					take(a.Confirm(rapid.Bool().Draw(t, "crashed"), nil, now))
+				}
+			case kind == 8 && len(waiting) > 0:
+				take(a.Cancel(some(waiting, "cancelled"), now))
+			default:
+				closed = rapid.SampledFrom([]broker.Reason{"", "", broker.ReasonZoneOut}).Draw(t, "closed")
+				take(a.Configure(settings, closed, now))
+			}
+		}
+	})
+}
+
 // BenchmarkSubmitFinish measures one admitted request.
 func BenchmarkSubmitFinish(b *testing.B) {
 	s := warmed(Settings{Slots: 4, ColdConcurrency: 1, ColdSuccesses: 1, ColdStep: 4})
--- a/internal/broker/coordination/admitter/estimate.go
+++ b/internal/broker/coordination/admitter/estimate.go
@@ -15,13 +15,16 @@
 	driftShare = 256
 	// slowFloor keeps timer noise on sub-millisecond servers from looking like a cold start.
 	slowFloor = 5 * time.Millisecond
+	// kindLimit bounds the memory for kinds; configurations have a handful for each server.
+	kindLimit = 64
 )
 
 // estimate holds what is known of the latency of a server.
 type estimate struct {
 	mean      time.Duration
 	deviation time.Duration
-	warm      time.Duration // latency while warm, the measure for a cold start
+	// warm holds the latency of each kind of request while warm, the measure for a cold start.
+	warm map[string]time.Duration
 }
 
 // run returns how long a request is expected to take at most in the common case.
@@ -38,19 +41,25 @@
 }
 
 // slow returns whether a latency is far above the server's own warm latency.
-func (e *estimate) slow(latency time.Duration) bool {
-	return e.warm > 0 && latency > slowFloor && latency > slowFactor*e.warm
+func (e *estimate) slow(kind string, latency time.Duration) bool {
+	if latency <= slowFloor {
+		return false
+	}
+	warm := e.warm[kind]
+	return warm > 0 && latency > slowFactor*warm
 }
 
-func (e *estimate) addWarm(latency time.Duration) {
-	if e.warm == 0 {
-		e.warm = latency
-		return
+func (e *estimate) addWarm(kind string, latency time.Duration) {
+	warm, known := e.warm[kind]
+	switch {
+	case known:
+		e.warm[kind] = warm + (latency-warm)/meanShare
+	case len(e.warm) < kindLimit:
+		e.warm[kind] = latency
 	}
-	e.warm += (latency - e.warm) / meanShare
 }
 
 // drift moves the warm latency a little towards a slow one.
-func (e *estimate) drift(latency time.Duration) {
-	e.warm += (latency - e.warm) / driftShare
+func (e *estimate) drift(kind string, latency time.Duration) {
+	e.warm[kind] += (latency - e.warm[kind]) / driftShare
 }
--- a/internal/broker/coordination/admitter/phase.go
+++ b/internal/broker/coordination/admitter/phase.go
@@ -24,6 +24,12 @@
 	// coldEvidence is how many successive slow answers or errors make a server cold. With 1% stragglers, four in a
 	// row are expected once in 10^8 requests.
 	coldEvidence = 4
+	// leavingMemory is how long a status without the draining signal does not end a drain, because it may lag behind
+	// the refusal or answer that stated the drain.
+	leavingMemory = 5 * time.Second
+	// reliefAnswers is how many answers raise the ceiling of a server that shed by one, so that a server with less
+	// room than its slots sheds one request in this many.
+	reliefAnswers = 32
 	// firstBackoff and maxBackoff bound the pause after a shed or failed request, which doubles until an answer.
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = time.Second
@@ -81,11 +87,11 @@
 
 // sight takes a boot ID; a change means that a new process started, which is cold.
 func (a *Admitter) sight(bootID string) {
-	if bootID == "" {
+	if bootID == "" || bootID == a.formerID {
 		return
 	}
 	if a.bootID != "" && a.bootID != bootID {
-		a.bootID = bootID
+		a.formerID, a.bootID = a.bootID, bootID
 		a.selfLeaving = false
 		a.settleDrain()
 		a.resetPause()
@@ -116,10 +122,16 @@
 }
 
 // observe takes what is believed of a status answer.
-func (a *Admitter) observe(status broker.BackendStatus) {
+func (a *Admitter) observe(status broker.BackendStatus, now time.Time) {
 	a.sight(status.BootID)
-	if a.selfLeaving != status.Draining {
-		a.selfLeaving = status.Draining
+	if status.BootID != a.bootID {
+		return // it lags behind an answer of a newer process
+	}
+	switch {
+	case status.Draining:
+		a.leave(now)
+	case a.selfLeaving && now.Sub(a.leavingAt) >= leavingMemory:
+		a.selfLeaving = false
 		a.settleDrain()
 	}
 }
@@ -134,7 +146,7 @@
 }
 
 func (a *Admitter) leave(now time.Time) {
-	a.selfLeaving = true
+	a.selfLeaving, a.leavingAt = true, now
 	a.settleDrain()
 	a.pump(now)
 }
@@ -145,6 +157,9 @@
 }
 
 func (a *Admitter) pause(now time.Time) {
+	if now.Before(a.pausedUntil) {
+		return // refusals of requests that were sent together count once
+	}
 	a.backoff = min(max(2*a.backoff, firstBackoff), maxBackoff)
 	a.pausedUntil = now.Add(a.backoff)
 }
@@ -155,10 +170,10 @@
 }
 
 // learn takes what a dispatched request showed about the server.
-func (a *Admitter) learn(result Result, now time.Time) {
+func (a *Admitter) learn(kind string, result Result, now time.Time) {
 	switch result.Verdict {
 	case VerdictAnswered:
-		a.answered(result.Latency)
+		a.answered(kind, result.Latency)
 	case VerdictFailed:
 		a.resetPause()
 		a.suspectCold(1)
@@ -166,12 +181,12 @@
 		a.estimate.add(max(result.Latency, a.estimate.mean))
 		a.suspectCold(1)
 	case VerdictCancelled:
-		if a.estimate.slow(result.Latency) {
+		if a.estimate.slow(kind, result.Latency) {
 			a.estimate.add(result.Latency)
 			a.suspectCold(1)
 		}
 	case VerdictShed:
-		a.pause(now)
+		a.shed(now)
 	case VerdictCold:
 		a.pause(now)
 		a.fire(eventChill)
@@ -188,19 +203,40 @@
 	}
 }
 
+// shed pauses and then keeps the concurrency below that at which the server refused.
+func (a *Admitter) shed(now time.Time) {
+	a.pause(now)
+	a.ceiling, a.relief = max(len(a.running), 1), 0
+}
+
+// relieve raises the ceiling of a server that shed.
+func (a *Admitter) relieve() {
+	if a.ceiling == 0 {
+		return
+	}
+	if a.relief++; a.relief < reliefAnswers {
+		return
+	}
+	a.relief = 0
+	if a.ceiling++; a.ceiling >= a.limit {
+		a.ceiling = 0
+	}
+}
+
 // answered takes an answer into the estimates and the ramp.
-func (a *Admitter) answered(latency time.Duration) {
+func (a *Admitter) answered(kind string, latency time.Duration) {
 	a.resetPause()
+	a.relieve()
 	a.estimate.add(latency)
 	a.seen()
-	if a.estimate.slow(latency) {
-		a.estimate.drift(latency)
+	if a.estimate.slow(kind, latency) {
+		a.estimate.drift(kind, latency)
 		a.suspectCold(1)
 		return
 	}
 	a.evidence = 0
 	if a.phase == broker.PhaseWarm {
-		a.estimate.addWarm(latency)
+		a.estimate.addWarm(kind, latency)
 		return
 	}
 	a.answers++
@@ -239,7 +275,7 @@
 func (a *Admitter) suspectOverdue(now time.Time) {
 	overdue := 0
 	for i := range a.running {
-		if a.estimate.slow(now.Sub(a.running[i].started)) {
+		if !a.running[i].probe && a.estimate.slow(a.running[i].kind, now.Sub(a.running[i].started)) {
 			overdue++
 		}
 	}
--- a/internal/broker/coordination/admitter/queue.go
+++ b/internal/broker/coordination/admitter/queue.go
@@ -9,13 +9,11 @@
 
 // refusal returns why the request cannot even be queued, or broker.ReasonNone.
 func (a *Admitter) refusal(request *Request, now time.Time) broker.Reason {
-	if request.Probe {
-		if !a.probeable(now) {
-			return broker.ReasonOverloaded
-		}
-		return broker.ReasonNone
-	}
 	switch {
+	case request.Probe && a.probe != nil:
+		return broker.ReasonDuplicate
+	case request.Probe:
+		return broker.ReasonNone
 	case a.closedBy != broker.ReasonNone:
 		return a.closedBy
 	case a.selfLeaving:
@@ -29,6 +27,15 @@
 	}
 }
 
+// submitProbe starts a probe, or keeps it for the next free slot: under overload there is no other.
+func (a *Admitter) submitProbe(request Request, now time.Time) {
+	if a.probeable(now) {
+		a.start(&request, now)
+		return
+	}
+	a.probe = &request
+}
+
 // probeable returns whether a status probe fits in the limits; a closed or unreachable server may be probed by one
 // probe at a time, because nothing else shows its return.
 func (a *Admitter) probeable(now time.Time) bool {
@@ -52,10 +59,19 @@
 	if a.verifying || a.phase == broker.PhaseDraining || now.Before(a.pausedUntil) {
 		return 0
 	}
-	if a.backoff > 0 || a.phase == broker.PhaseDown {
+	return a.capacity()
+}
+
+// capacity returns how many requests may run once no pause is left.
+func (a *Admitter) capacity() int {
+	switch {
+	case a.backoff > 0 || a.phase == broker.PhaseDown:
 		return 1 // one trial request until the server answers again
+	case a.ceiling > 0:
+		return min(a.limit, a.ceiling)
+	default:
+		return a.limit
 	}
-	return a.limit
 }
 
 func (a *Admitter) startable(request *Request, now time.Time) bool {
@@ -133,10 +149,7 @@
 	if ahead == 0 && len(a.running)+a.busy == 0 {
 		return broker.ReasonNone
 	}
-	places := max(a.limit-a.busy, 1)
-	if a.backoff > 0 {
-		places = 1
-	}
+	places := max(a.capacity()-a.busy, 1)
 	if len(a.running)+a.busy >= places {
 		ahead++
 	}
@@ -153,7 +166,7 @@
 	if pause := a.pausedUntil.Sub(now); pause > 0 {
 		wait, reason = pause, broker.ReasonShed
 	}
-	if a.busy >= a.limit {
+	if a.busy >= a.capacity() {
 		if busy := a.busyUntil.Sub(now); busy > wait {
 			wait, reason = busy, broker.ReasonOverloaded
 		}
@@ -163,6 +176,10 @@
 
 // pump starts queued requests while limits permit it.
 func (a *Admitter) pump(now time.Time) {
+	if a.probe != nil && a.probeable(now) {
+		a.start(a.probe, now)
+		a.probe = nil
+	}
 	if len(a.queue) == 0 {
 		return
 	}
--- a/internal/broker/coordination/admitter/types.go
+++ b/internal/broker/coordination/admitter/types.go
@@ -43,10 +43,11 @@
 // Request is one request that asks for a slot.
 type Request struct {
 	Ticket   Ticket
-	Priority int // higher is kept longer
+	Kind     string // latencies are compared with those of the same kind
+	Priority int    // higher is kept longer
 	Deadline time.Time
 	Alone    bool // no other request may run at the server at the same time
-	Probe    bool // a status probe, which is admitted at once or refused
+	Probe    bool // a status probe, which gets the next free slot and has no deadline
 }
 
 // ActionKind says what the caller has to do.
--- a/internal/broker/coordination/owner/attempt.go
+++ b/internal/broker/coordination/owner/attempt.go
@@ -89,7 +89,7 @@
 	s.calls[c.ticket] = c
 	s.collect(&e, s.admitter.Finish(ticket, admitter.Result{Verdict: admitter.VerdictWithheld}, now))
 	s.collect(&e, s.admitter.Submit(admitter.Request{
-		Ticket: c.ticket, Priority: c.sub.Priority, Deadline: c.deadline, Alone: true,
+		Ticket: c.ticket, Kind: c.sub.Kind, Priority: c.sub.Priority, Deadline: c.deadline, Alone: true,
 	}, now))
 	s.mu.Unlock()
 	s.apply(&e, nil)
@@ -121,6 +121,9 @@
 	var e effects
 	s.mu.Lock()
 	s.repeats = min(s.repeats+s.owner.options.RepeatShare, repeatBurst)
+	if verdict == admitter.VerdictAnswered {
+		s.failedPolls = 0 // observed outcomes take precedence over probes
+	}
 	lost := verdict == admitter.VerdictLost
 	if lost {
 		s.investigate(c, now)
--- a/internal/broker/coordination/owner/call.go
+++ b/internal/broker/coordination/owner/call.go
@@ -115,7 +115,7 @@
 	c.ticket = s.lastTicket
 	s.calls[c.ticket] = c
 	request := admitter.Request{
-		Ticket: c.ticket, Priority: c.sub.Priority, Deadline: c.deadline, Alone: c.alone,
+		Ticket: c.ticket, Kind: c.sub.Kind, Priority: c.sub.Priority, Deadline: c.deadline, Alone: c.alone,
 	}
 	s.collect(&e, s.admitter.Submit(request, now))
 	s.mu.Unlock()
--- a/internal/broker/coordination/owner/probe.go
+++ b/internal/broker/coordination/owner/probe.go
@@ -129,6 +129,7 @@
 		s.mu.Unlock()
 		s.apply(&e, nil)
 	}()
+	s.polling = false
 	s.collect(&e, s.admitter.Finish(ticket, admitter.Result{Verdict: admitter.VerdictRefused}, now))
 	if err == nil {
 		s.failedPolls = 0
--- a/internal/broker/coordination/owner/server.go
+++ b/internal/broker/coordination/owner/server.go
@@ -32,6 +32,7 @@
 	partitioning  uint64
 	nextPoll      time.Time
 	failedPolls   int
+	polling       bool    // a probe waits for a slot or is in progress
 	repeats       float64 // tokens for repeating silent attempts
 	investigation *investigation
 	unresolved    []unresolved
@@ -124,11 +125,11 @@
 			s.verify()
 		}()
 	}
-	if e.probe != 0 {
+	if ticket := e.probe; ticket != 0 {
 		s.owner.work.Add(1)
 		go func() {
 			defer s.owner.work.Done()
-			s.probe(e.probe)
+			s.probe(ticket)
 		}()
 	}
 	return runOwn
@@ -221,7 +222,8 @@
 	var e effects
 	s.mu.Lock()
 	s.collect(&e, s.admitter.Tick(now))
-	if leased && !now.Before(s.nextPoll) {
+	if leased && !s.polling && !now.Before(s.nextPoll) {
+		s.polling = true
 		s.nextPoll = now.Add(s.pollInterval())
 		s.lastTicket++
 		request := admitter.Request{Ticket: s.lastTicket, Deadline: now.Add(s.owner.options.ProbeTimeout), Probe: true}
--- a/internal/broker/transport/dispatcher/dispatcher_test.go
+++ b/internal/broker/transport/dispatcher/dispatcher_test.go
@@ -127,6 +127,14 @@
 	return d
 }
 
+// keep lets connections become idle without opening any ahead at once.
+func (d *Dispatcher) keep() {
+	p := d.pool("a1")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = 1
+}
+
 var sub = broker.SubRequest{RequestID: "r1", Shard: "s1", Server: "a1", Attempt: 1, Snapshot: 7, Partitioning: 1,
 	Kind: "search", Body: []byte(`{"words":"tipped tyres"}`)}
 
@@ -156,7 +164,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := newStandIn(t)
 			d := newDispatcher(s.listener.Addr(), 2)
-			d.pool("a1").ready = 1 // keep connections, open none ahead
+			d.keep()
 			if tt.reused {
 				d.Send(t.Context(), broker.BackendRequest{Sub: sub})
 				s.executions.Store(0)
@@ -183,7 +191,7 @@
 	cancel()
 	cancelled := d.Send(ended, broker.BackendRequest{Sub: sub})
 
-	d.pool("a1").ready = 1
+	d.keep()
 	s.cut.Store(int32(cutWhenIdle))
 	d.Send(t.Context(), broker.BackendRequest{Sub: sub})
 	for range 2 { // the withheld connection and the one closed while idle
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -47,9 +47,7 @@
 		return answer, nil
 	}
 	if kindOf(err) == KindSilent {
-		d.counters.silent.Inc()
-		// Connections go silent together where a device between the hosts forgets them.
-		p.dropIdle()
+		p.noteSilent()
 	}
 	return nil, err
 }
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -39,6 +39,7 @@
 	idle     []*conn
 	waiters  []chan struct{}
 	redialAt time.Time
+	silent   int // silent exchanges since one on a reused connection went well
 }
 
 // acquire returns a connection that no other request uses; fresh asks for one that was not open before.
@@ -140,6 +141,9 @@
 // release takes back a connection whose exchange ended cleanly.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
+	if c.reused {
+		p.silent = 0
+	}
 	if p.live > p.limit || p.ready == 0 {
 		p.mu.Unlock()
 		p.discard(c)
@@ -247,11 +251,16 @@
 	p.fill()
 }
 
-// dropIdle closes all idle connections, as after one of them was found silent.
-func (p *pool) dropIdle() {
+// noteSilent counts a silent exchange. Connections go silent together where a device between the hosts forgets them,
+// so the second one in a row closes the idle ones; a single one may also be a straggler.
+func (p *pool) noteSilent() {
+	p.counters.silent.Inc()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.drop(len(p.idle))
+	if p.silent++; p.silent >= 2 {
+		p.silent = 0
+		p.drop(len(p.idle))
+	}
 }
 
 // drop closes the given number of idle connections, the least recently used first.
