Add golden sessions of leases and tests of the joiner

Cause: takeover, wake-up, release, store outage and a wrong host list need recorded behaviour and measured times. Change: golden sessions; joiner tests in virtual time with a fake store and network. Found by them and fixed: a new generation restarted the wait of a member that was taking over, so the removal of excluded members now comes after it; a leaving node removed itself before its release took effect; a rejoining process forgot the host list and needed another 30 s; a removed node excluded the last member. Exclusions are announced at the next tick.

--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -130,6 +130,7 @@
 	left       chan struct{}
 	leftOnce   bool
 	rejoinAt   time.Time
+	removeAt   time.Time // when a leaving process removes itself; a release takes effect before that
 	handovers  []handover
 	fetchAt    time.Time
 	write      task
@@ -197,8 +198,10 @@
 func (j *Joiner) Leave(ctx context.Context) error {
 	j.post(func() {
 		if !j.leaving {
+			now := j.clock.Now()
 			j.leaving = true
-			j.step(j.clock.Now(), leaser.Leave{})
+			j.removeAt = now.Add(j.settings.Leaser.Rewrite)
+			j.step(now, leaser.Leave{})
 		}
 	})
 	select {
--- /dev/null
+++ b/internal/broker/coordination/joiner/joiner_test.go
@@ -0,0 +1,270 @@
+package joiner
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// large adds cells of 20 and 50 nodes, which no site runs and which take half a minute.
+var large = flag.Bool("large", false, "measure cells of 20 and 50 nodes too")
+
+// until advances the bubble's clock until done, and returns the time that took.
+func until(t *testing.T, limit time.Duration, what string, done func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !done() {
+		if time.Since(begin) > limit {
+			t.Fatalf("got no %s within %v", what, limit)
+		}
+		<-time.After(10 * time.Millisecond)
+		synctest.Wait()
+	}
+	return time.Since(begin)
+}
+
+// owners returns for each server how many nodes may dispatch to it.
+func owners(nodes []*node) (none, one, more int) {
+	for i := range serverCount {
+		count := 0
+		for _, n := range nodes {
+			if n.joiner.MayDispatch(broker.ServerName(fmt.Sprintf("s%d", i))) {
+				count++
+			}
+		}
+		switch count {
+		case 0:
+			none++
+		case 1:
+			one++
+		default:
+			more++
+		}
+	}
+	return none, one, more
+}
+
+func allOwned(t *testing.T, nodes []*node) func() bool {
+	return func() bool {
+		none, _, more := owners(nodes)
+		if more > 0 {
+			t.Fatalf("got %d servers with two owners, want 0", more)
+		}
+		return none == 0
+	}
+}
+
+// cluster starts nodes with a configuration in the store and waits until they own all servers.
+func cluster(t *testing.T, count int) (*fakeStore, *network, []*node) {
+	store := newFakeStore()
+	store.objects[ConfigKey] = broker.Object{Key: ConfigKey, Version: 1, Value: []byte("first")}
+	w := newNetwork()
+	nodes := make([]*node, count)
+	for i := range nodes {
+		nodes[i] = w.start(t, store, fmt.Sprintf("n%d", i), 1, i)
+	}
+	t.Logf("all servers owned after %v", until(t, 30*time.Second, "owners", allOwned(t, nodes)))
+	return store, w, nodes
+}
+
+func stopAll(nodes []*node) {
+	for _, n := range nodes {
+		n.cancel()
+		<-n.joiner.stopped
+	}
+}
+
+func inForce(nodes []*node, revision broker.Revision) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			if n.joiner.Revision() != revision {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestConfigurationInForce guards against a configuration that takes more than 5 s to reach all of 7 nodes.
+func TestConfigurationInForce(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*fakeStore)
+		after  func(*fakeStore, []*node)
+	}{
+		{name: "store healthy"},
+		{name: "store slow", before: func(s *fakeStore) { s.latency = 900 * time.Millisecond }},
+		{name: "watch lags", before: func(s *fakeStore) { s.watchLag = time.Minute }},
+		{name: "store down right after acceptance", after: func(s *fakeStore, nodes []*node) {
+			s.down = true
+			nodes[3].joiner.Offer(broker.ConfigObject{Revision: 2, Value: []byte("second")})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, _, nodes := cluster(t, 7)
+				defer stopAll(nodes)
+				if tt.before != nil {
+					store.set(func() { tt.before(store) })
+				}
+				<-time.After(5 * time.Second)
+				store.mu.Lock()
+				store.objects[ConfigKey] = broker.Object{Key: ConfigKey, Version: 2, Value: []byte("second")}
+				if tt.after != nil {
+					tt.after(store, nodes)
+				}
+				store.mu.Unlock()
+				store.set(func() {})
+				got := until(t, 5*time.Second, "second revision everywhere", inForce(nodes, 2))
+				t.Logf("in force at 7 nodes after %v", got)
+				nodes[0].joiner.HandleMessage("late", broker.Message{Config: &broker.ConfigObject{
+					Revision: 1, Value: []byte("first"),
+				}})
+				synctest.Wait()
+				if got := nodes[0].joiner.Revision(); got != 2 {
+					t.Errorf("got revision %d after a late message, want 2", got)
+				}
+			})
+		})
+	}
+}
+
+// TestNodeDiesAndReturns guards against servers without an owner after a crash, during a store outage, and
+// against a restarted node that a lost reply keeps out of the member list.
+func TestNodeDiesAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, w, nodes := cluster(t, 5)
+		store.set(func() { store.down = true })
+		nodes[2].stop()
+		live := append(append([]*node{}, nodes[:2]...), nodes[3:]...)
+		defer func() { stopAll(live) }()
+		t.Logf("taken over after %v with the store down", until(t, 5*time.Second, "owners", allOwned(t, live)))
+		back := w.start(t, store, "n2", 2, 2)
+		live = append(live, back)
+		until(t, 2*time.Second, "configuration from a peer", inForce(live, 1))
+		if got := len(back.joiner.Members()); got != 5 {
+			t.Errorf("got %d members from a peer, want 5", got)
+		}
+		if server := broker.ServerName("s0"); back.joiner.OwnerOf(server) != nodes[0].joiner.OwnerOf(server) {
+			t.Errorf("got owner %s at an entry, want %s", back.joiner.OwnerOf(server), nodes[0].joiner.OwnerOf(server))
+		}
+		store.set(func() { store.down, store.loseReply = false, 1 })
+		joined := until(t, 10*time.Second, "membership after a lost reply", back.joiner.isMemberNow)
+		t.Logf("joined %v after the store's return", joined)
+		until(t, 10*time.Second, "a server at the returned node", func() bool {
+			allOwned(t, live)()
+			back.mu.Lock()
+			defer back.mu.Unlock()
+			return len(back.owned) > 0
+		})
+	})
+}
+
+// isMemberNow reads published state only.
+func (j *Joiner) isMemberNow() bool {
+	for _, m := range j.Members() {
+		if m.ID == "n2/2" {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLeave guards against a planned stop that leaves a server without an owner for the time of a takeover.
+func TestLeave(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("storeDown=%v", down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, _, nodes := cluster(t, 5)
+				defer stopAll(nodes)
+				store.set(func() { store.down = down })
+				left := make(chan error, 1)
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					defer cancel()
+					left <- nodes[0].joiner.Leave(ctx)
+				}()
+				until(t, time.Second, "release", func() bool { return nodes[0].owns() == 0 })
+				gap := until(t, 200*time.Millisecond, "owners", allOwned(t, nodes))
+				t.Logf("owned again %v after the release", gap)
+				planned := 0
+				for _, n := range nodes[1:] {
+					n.mu.Lock()
+					planned += n.planned
+					n.mu.Unlock()
+				}
+				if planned == 0 {
+					t.Error("got no planned handover, want one for each server of the node")
+				}
+				if err := <-left; (err != nil) != down {
+					t.Errorf("got error %v, want one only while the store is down", err)
+				}
+			})
+		})
+	}
+}
+
+// TestZoneOut guards against a node that stays an owner while its zone is out, or an entry for ever after it.
+func TestZoneOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _, nodes := cluster(t, 7)
+		defer stopAll(nodes)
+		submit := func(version uint64, value string) {
+			store.set(func() {
+				store.objects[ConfigKey] = broker.Object{Key: ConfigKey, Version: version, Value: []byte(value)}
+			})
+		}
+		owned := func() int { return nodes[0].owns() + nodes[3].owns() + nodes[6].owns() }
+		submit(2, "out")
+		t.Logf("zone without owners after %v", until(t, 3*time.Second, "release", func() bool { return owned() == 0 }))
+		t.Logf("all servers owned %v later", until(t, 5*time.Second, "owners", allOwned(t, nodes)))
+		<-time.After(5 * time.Second)
+		submit(3, "in")
+		t.Logf("zone has owners again after %v", until(t, 10*time.Second, "owners in the zone", func() bool {
+			return nodes[0].owns() > 0 && nodes[3].owns() > 0 && nodes[6].owns() > 0 && allOwned(t, nodes)()
+		}))
+	})
+}
+
+// TestIdleTraffic guards against control traffic above the 3 KB a second that a node of a cell of 7 may spend,
+// and states messages, bytes and store calls of idle cells. It is no benchmark because only a test can have
+// virtual time.
+func TestIdleTraffic(t *testing.T) {
+	const limit = 3000
+	counts := []int{3, 7}
+	if *large {
+		counts = append(counts, 20, 50)
+	}
+	for _, count := range counts {
+		t.Run(fmt.Sprintf("nodes=%d", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, w, nodes := cluster(t, count)
+				defer stopAll(nodes)
+				<-time.After(20 * time.Second)
+				synctest.Wait()
+				store.mu.Lock()
+				calls := store.calls
+				store.mu.Unlock()
+				w.measure.Store(true)
+				<-time.After(time.Minute)
+				synctest.Wait()
+				w.measure.Store(false)
+				perNode := float64(w.bytes.Load()) / 60 / float64(count)
+				store.mu.Lock()
+				calls = store.calls - calls
+				store.mu.Unlock()
+				t.Logf("%d nodes: %.0f messages and %.0f bytes sent per node and second, %d store calls a minute",
+					count, float64(w.messages.Load())/60/float64(count), perNode, calls)
+				if count <= 7 && perNode > limit {
+					t.Errorf("got %.0f bytes per node and second, want at most %d", perNode, limit)
+				}
+			})
+		})
+	}
+}
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -87,6 +87,7 @@
 	j.zoneOut = out
 	now := j.clock.Now()
 	if out {
+		j.removeAt = now.Add(j.settings.Leaser.Rewrite)
 		j.step(now, leaser.Leave{})
 	} else if !j.leaving {
 		j.rejoinAt = now
@@ -138,7 +139,9 @@
 	j.self = j.handler.NewIncarnation(j.self)
 	j.handovers = nil
 	j.log.Info("rejoining", "node", j.self.ID)
-	j.core.Store(leaser.New(j.settings.Leaser, j.self, now))
+	core := leaser.New(j.settings.Leaser, j.self, now)
+	core.Inherit(j.core.Load())
+	j.core.Store(core)
 	j.step(now, leaser.Adopt{Membership: j.membership})
 	if j.adopter.Table() != nil {
 		j.core.Load().SetRevision(j.adopter.Revision())
--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -67,7 +67,7 @@
 	switch {
 	case !j.write.due(now) || !j.rejoinAt.IsZero():
 	case j.leaving || j.zoneOut:
-		if j.isMember() {
+		if j.isMember() && !now.Before(j.removeAt) {
 			j.startRewrite(now, []broker.NodeID{j.self.ID})
 		}
 	case !j.isMember():
--- a/internal/broker/coordination/leaser/core.go
+++ b/internal/broker/coordination/leaser/core.go
@@ -101,6 +101,17 @@
 	return c
 }
 
+// Inherit takes over what the previous incarnation of this process has observed of other hosts. Grants, exclusions
+// and tenures are not taken over.
+func (c *Core) Inherit(previous *Core) {
+	for id, p := range previous.peers {
+		if id != c.self.ID {
+			c.peers[id] = &peer{heard: p.heard, met: p.met, absent: p.absent}
+		}
+	}
+	c.lastTick = previous.lastTick
+}
+
 // SetRevision sets the configuration revision that heartbeats announce.
 func (c *Core) SetRevision(revision broker.Revision) { c.revision = revision }
 
@@ -202,6 +213,11 @@
 	if c.isExcluded(from) && !contains(excluded, from) {
 		return
 	}
+	// A node that has been removed must not exclude the members that are left; until it agrees with them its
+	// report does not count either.
+	if !c.isMember(from) && !c.excludesAll(excluded) {
+		return
+	}
 	if p.excluded == nil {
 		p.excluded = make(map[broker.NodeID]struct{}, len(excluded))
 	}
@@ -248,6 +264,10 @@
 
 func (c *Core) acceptRelease(e Released) {
 	for _, key := range e.Keys {
+		// A release by the owner of this generation means that it has excluded itself.
+		if s := c.slots[key]; s != nil && e.Generation == c.membership.Generation && s.owner == e.From {
+			c.exclude(e.From)
+		}
 		if r, ok := c.releases[key]; !ok || r.generation <= e.Generation {
 			c.releases[key] = release{from: e.From, generation: e.Generation}
 		}
--- /dev/null
+++ b/internal/broker/coordination/leaser/golden_test.go
@@ -0,0 +1,130 @@
+package leaser
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// ranks returns the nodes in the rank order of server s0.
+func (s *sim) ranks() []*simNode {
+	var nodes []*simNode
+	for _, id := range s.nodes[0].core.slots[simKey(0)].rank {
+		i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.self.ID == id })
+		nodes = append(nodes, s.nodes[i])
+	}
+	return nodes
+}
+
+func (s *sim) kill(nodes ...*simNode) {
+	for _, n := range nodes {
+		s.note("%s dies", n.self.ID)
+		n.alive = false
+	}
+}
+
+// TestSessions guards against a change in how a cell behaves when an owner fails, and against servers that stay
+// without an owner for longer than the design states.
+func TestSessions(t *testing.T) {
+	const step = time.Second
+	tests := []struct {
+		name  string
+		limit time.Duration // longest time without an owner for any server
+		run   func(s *sim)
+	}{
+		{name: "owner dies", limit: 4400 * time.Millisecond, run: func(s *sim) {
+			s.kill(s.ranks()[0])
+			s.run(s.now + 10*step)
+		}},
+		// The others take over; the owner wakes without any right and rejoins.
+		{name: "paused owner wakes", limit: 4400 * time.Millisecond, run: func(s *sim) {
+			owner := s.ranks()[0]
+			s.note("%s pauses for 6s", owner.self.ID)
+			owner.pausedUntil = s.now + 6*step
+			s.run(s.now + 15*step)
+		}},
+		{name: "both first ranks lost", limit: 4400 * time.Millisecond, run: func(s *sim) {
+			s.kill(s.ranks()[:2]...)
+			s.run(s.now + 10*step)
+		}},
+		{name: "planned release", limit: 100 * time.Millisecond, run: func(s *sim) {
+			owner := s.ranks()[0]
+			s.note("%s leaves", owner.self.ID)
+			s.step(owner, Leave{})
+			owner.leaving, owner.nextWrite = true, s.now+step
+			s.run(s.now + 5*step)
+		}},
+		// The restarted owner joins when the store is back.
+		{name: "store down throughout", limit: 4400 * time.Millisecond, run: func(s *sim) {
+			s.storeDown = true
+			owner := s.ranks()[0]
+			s.kill(owner)
+			s.run(s.now + 10*step)
+			s.boot(owner)
+			s.note("%s starts", owner.self.ID)
+			s.run(s.now + 10*step)
+			s.note("store is back")
+			s.storeDown = false
+			s.run(s.now + 10*step)
+		}},
+		// Three of five hosts die and stay in the host list for 10 s; a live host is missing from it all along.
+		{name: "host list wrong", limit: 45 * time.Second, run: func(s *sim) {
+			ranks := s.ranks()
+			ranks[3].listed = false
+			s.note("host of %s is missing from the host list", ranks[3].self.ID)
+			s.run(s.now + 40*step)
+			s.kill(ranks[:3]...)
+			s.run(s.now + 10*step)
+			for _, n := range ranks[:3] {
+				n.listed = false
+			}
+			s.note("dead hosts leave the host list")
+			s.run(s.now + 45*step)
+		}},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(5, uint64(i), DefaultSettings())
+			s.run(10 * step)
+			s.trace, s.gaps = nil, make(map[broker.ServerName]time.Duration)
+			tt.run(s)
+			if err := s.verify(); err != nil {
+				t.Error(err)
+			}
+			longest := time.Duration(0)
+			for _, gap := range s.gaps {
+				longest = max(longest, gap)
+			}
+			if longest > tt.limit {
+				t.Errorf("got %v without an owner, want at most %v", longest, tt.limit)
+			}
+			s.note("longest time without an owner: %.2f s", longest.Seconds())
+			compareGolden(t, strings.ReplaceAll(tt.name, " ", "-"), strings.Join(s.trace, "\n")+"\n")
+		})
+	}
+}
+
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("got session\n%swant\n%s", got, want)
+	}
+}
--- a/internal/broker/coordination/leaser/model_test.go
+++ b/internal/broker/coordination/leaser/model_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
 const (
@@ -181,3 +183,26 @@
 		})
 	}
 }
+
+// BenchmarkMayDispatch measures the check before each dispatch.
+func BenchmarkMayDispatch(b *testing.B) {
+	s := newSim(3, 1, DefaultSettings())
+	s.run(10 * time.Second)
+	core := s.nodes[0].core
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			core.MayDispatch("s0", time.Now())
+		}
+	})
+}
+
+// BenchmarkHeartbeat measures one heartbeat at its receiver, with 7 members.
+func BenchmarkHeartbeat(b *testing.B) {
+	s := newSim(7, 1, DefaultSettings())
+	s.run(10 * time.Second)
+	n, from := s.nodes[0], s.nodes[1]
+	beat := &broker.Heartbeat{Generation: n.membership.Generation, Revision: 1}
+	for b.Loop() {
+		n.core.Step(s.clock(n), Received{From: from.self.ID, Heartbeat: beat})
+	}
+}
--- a/internal/broker/coordination/leaser/quorum.go
+++ b/internal/broker/coordination/leaser/quorum.go
@@ -30,6 +30,7 @@
 	}
 	c.excluded[id] = time.Time{}
 	c.dirty = true
+	c.beatAt = time.Time{} // the next tick announces it
 }
 
 // exclusions returns the excluded members, sorted.
@@ -46,9 +47,10 @@
 }
 
 func (c *Core) sameExclusions(ids []broker.NodeID) bool {
-	if len(ids) != len(c.excluded) {
-		return false
-	}
+	return len(ids) == len(c.excluded) && c.excludesAll(ids)
+}
+
+func (c *Core) excludesAll(ids []broker.NodeID) bool {
 	for _, id := range ids {
 		if !c.isExcluded(id) {
 			return false
--- a/internal/broker/coordination/leaser/sim_test.go
+++ b/internal/broker/coordination/leaser/sim_test.go
@@ -81,7 +81,6 @@
 	storeDown bool
 	storeSlow time.Duration
 	lostReply float64
-	members   broker.Object
 	decoded   broker.Membership
 	config    broker.ConfigObject
 	lastValid broker.Revision
@@ -136,7 +135,7 @@
 	n.alive, n.leaving, n.writing, n.listed = true, false, false, true
 	n.membership, n.backlog, n.pausedUntil = broker.Membership{}, nil, 0
 	n.adopter = adopter.New(simValidate, holder.New[indexer.Table](nil))
-	n.highest = 0
+	n.highest, n.core = 0, nil
 	s.incarnate(n)
 }
 
@@ -147,7 +146,11 @@
 		Zone: fmt.Sprintf("z%d", n.host%3),
 		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n.host)}), 9000),
 	}
+	previous := n.core
 	n.core = New(s.settings, n.self, simStart)
+	if previous != nil {
+		n.core.Inherit(previous)
+	}
 	n.core.SetRevision(n.adopter.Revision())
 	s.step(n, Adopt{Membership: n.membership})
 	resources := make([]Resource, simServers)
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -192,8 +192,8 @@
 	}
 	remove := c.exclusions()
 	for _, id := range remove {
-		// The pause lets a release within the generation take effect first.
-		if at := c.excluded[id]; at.IsZero() || now.Sub(at) < c.settings.Rewrite {
+		// A new generation restarts the waits of members that are taking over, so it comes after them.
+		if at := c.excluded[id]; at.IsZero() || now.Sub(at) < c.settings.Wait+c.settings.Rewrite {
 			return
 		}
 	}
