Suspect requests that crash a server late or take its host down

Cause: a request whose caller had given up before the crash, and a crash after which the host no longer replied, left no suspect. A suspect whose trial runs elsewhere is refused as overloaded, not as quarantined.

--- a/internal/broker/coordination/owner/attempt.go
+++ b/internal/broker/coordination/owner/attempt.go
@@ -18,9 +18,9 @@
 // run dispatches an admitted call and ends it.
 func (s *server) run(c *call) {
 	started := s.owner.clock.Now()
-	switch s.owner.quarantine.Try(c.sub.Fingerprint, s.name, started) {
+	switch standing := s.owner.quarantine.Try(c.sub.Fingerprint, s.name, started); standing {
 	case quarantiner.Quarantined, quarantiner.OnTrial:
-		s.refuseQuarantined(c)
+		s.refuseStanding(c, standing)
 		return
 	case quarantiner.Suspect:
 		if !c.alone {
@@ -28,7 +28,7 @@
 			return
 		}
 		if !s.claimTrial(c) {
-			s.refuseQuarantined(c)
+			s.refuseStanding(c, s.owner.quarantine.Standing(c.sub.Fingerprint, s.owner.clock.Now()))
 			return
 		}
 		started = s.owner.clock.Now()
@@ -66,9 +66,9 @@
 	return s.owner.quarantine.Holds(c.sub.Fingerprint, s.name, s.owner.clock.Now())
 }
 
-func (s *server) refuseQuarantined(c *call) {
+func (s *server) refuseStanding(c *call, standing quarantiner.Standing) {
 	s.owner.counters.quarantined.Inc()
-	s.finish(c, broker.BackendResult{Answer: refuse(&c.sub, broker.ReasonQuarantined, 0)}, 0)
+	s.finish(c, broker.BackendResult{Answer: refuse(&c.sub, reasonOf(standing), 0)}, 0)
 }
 
 func (s *server) serverAddress() netip.AddrPort {
--- a/internal/broker/coordination/owner/call.go
+++ b/internal/broker/coordination/owner/call.go
@@ -92,10 +92,10 @@
 		return false
 	}
 	c.server = s
-	switch o.quarantine.Standing(c.sub.Fingerprint, now) {
+	switch standing := o.quarantine.Standing(c.sub.Fingerprint, now); standing {
 	case quarantiner.Quarantined, quarantiner.OnTrial:
 		o.counters.quarantined.Inc()
-		s.answer(c, refuse(&c.sub, broker.ReasonQuarantined, 0))
+		s.answer(c, refuse(&c.sub, reasonOf(standing), 0))
 		return false
 	case quarantiner.Suspect:
 		c.alone = true
--- a/internal/broker/coordination/owner/outcome.go
+++ b/internal/broker/coordination/owner/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/admitter"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 )
 
 // refuse returns the answer to a sub-request that did not run.
@@ -14,6 +15,15 @@
 	}
 }
 
+// reasonOf returns the reason for which a fingerprint's standing refuses it; a trial in progress passes, so that its
+// refusal is like that of a busy server.
+func reasonOf(standing quarantiner.Standing) broker.Reason {
+	if standing == quarantiner.Quarantined {
+		return broker.ReasonQuarantined
+	}
+	return broker.ReasonOverloaded
+}
+
 // verdictOf returns what a result shows about the server.
 func verdictOf(result *broker.BackendResult) admitter.Verdict {
 	switch result.Answer.Outcome {
--- a/internal/broker/coordination/owner/owner.go
+++ b/internal/broker/coordination/owner/owner.go
@@ -112,10 +112,10 @@
 	}
 }
 
-// Wait returns once every dispatched request and probe has ended.
+// Wait returns once every dispatched request and probe has ended; the caller sends no new ones meanwhile.
 func (o *Owner) Wait() { o.work.Wait() }
 
-// SetTable takes a configuration; servers that it drains or whose zone is out get no new work from now on.
+// SetTable takes a configuration, after the backend took it; servers that it drains or whose zone is out get no new work from now on.
 func (o *Owner) SetTable(table *indexer.Table) {
 	o.views.Update(func(current *view) *view { return &view{table: table, servers: current.servers} })
 	now := o.clock.Now()
@@ -125,7 +125,7 @@
 }
 
 // Adopt makes this node the owner of a server. After a planned change, state is what the previous owner released;
-// otherwise it is the last announcement, or nil where that is older than 10 s. It is a no-op for an owned server.
+// otherwise it is the last announcement, or nil where that is older than 10 s. It has no effect on an owned server.
 func (o *Owner) Adopt(name broker.ServerName, state *broker.ServerState, planned bool) {
 	now := o.clock.Now()
 	var adopted *server
--- a/internal/broker/coordination/owner/owner_test.go
+++ b/internal/broker/coordination/owner/owner_test.go
@@ -41,13 +41,15 @@
 
 // fakeBackend answers in memory; its servers die of poison and restart at once.
 type fakeBackend struct {
-	mu       sync.Mutex
-	servers  map[broker.ServerName]*fakeServer
-	latency  time.Duration
-	deaths   int
-	sent     int
-	leaving  atomic.Bool
-	statuses int
+	mu        sync.Mutex
+	servers   map[broker.ServerName]*fakeServer
+	latency   time.Duration
+	deaths    int
+	sent      int
+	leaving   atomic.Bool
+	lives     bool  // loses connections instead of dying
+	afterLoss error // of Status after a death
+	statusErr error
 }
 
 func (b *fakeBackend) server(name broker.ServerName) *fakeServer {
@@ -95,6 +97,12 @@
 	case <-died:
 		result.Answer.Reason = broker.ReasonCrashed
 	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded {
+			result.Answer.Reason = broker.ReasonDeadline
+		}
+		if req.Sub.Fingerprint == poison {
+			time.AfterFunc(b.latency/2, func() { b.kill(s) }) // the server does not stop it in time
+		}
 	case <-time.After(b.latencyOf(req.Sub.Fingerprint)):
 		result.Answer.Outcome, result.Answer.Reason = broker.OutcomeAnswered, broker.ReasonNone
 		result.BootID = fmt.Sprintf("%s/%d", req.Sub.Server, boot)
@@ -104,25 +112,38 @@
 	b.sent++
 	s.running--
 	if req.Sub.Fingerprint == poison && result.Answer.Outcome == broker.OutcomeAnswered {
-		close(s.died)
-		s.died = make(chan struct{})
-		s.boot++
-		b.deaths++
+		b.die(s)
 		result.Answer.Outcome, result.Answer.Reason, result.BootID = broker.OutcomeUnknown, broker.ReasonCrashed, ""
 	}
 	return result
 }
 
+// die replaces the process; the lock is held.
+func (b *fakeBackend) die(s *fakeServer) {
+	close(s.died)
+	s.died = make(chan struct{})
+	b.deaths++
+	b.statusErr = b.afterLoss
+	if !b.lives {
+		s.boot++
+	}
+}
+
+func (b *fakeBackend) kill(s *fakeServer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.die(s)
+}
+
 func (b *fakeBackend) Status(
 	_ context.Context, name broker.ServerName, _ netip.AddrPort,
 ) (broker.BackendStatus, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.statuses++
 	return broker.BackendStatus{
 		BootID: fmt.Sprintf("%s/%d", name, b.server(name).boot), Draining: b.leaving.Load(), Partitioning: 1,
 		Shards: map[broker.ShardName][]broker.Snapshot{"s1": {6, 7}, "s2": {7}},
-	}, nil
+	}, b.statusErr
 }
 
 // table has servers a1 to a4 in zone z1, which is in or out.
@@ -235,6 +256,45 @@
 	})
 }
 
+// TestCrashAfterTimeout guards against a request that goes unsuspected because its caller gave up before the server
+// died of it, or because the server stays away; and against suspects where only a connection was lost.
+func TestCrashAfterTimeout(t *testing.T) {
+	both := []broker.Fingerprint{7, poison}
+	tests := []struct {
+		name   string
+		status error // of the server after the loss
+		lives  bool
+		want   []broker.Fingerprint
+		reason broker.Reason
+	}{
+		{"restarted", nil, false, both, broker.ReasonCrashed},
+		{"gone", broker.ErrUnreachable, false, both, broker.ReasonCrashed},
+		{"host gone", context.DeadlineExceeded, false, both, broker.ReasonCrashed},
+		{"connection lost", nil, true, nil, broker.ReasonUnreachable},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			backend := &fakeBackend{latency: 40 * time.Millisecond, lives: tt.lives, afterLoss: tt.status}
+			h := newHarness(backend, nil)
+			h.adoptAll(configurator.ColdStart{Concurrency: 2}, "a1")
+			answers := make(chan broker.SubAnswer, 1)
+			h.Submit(request("a1", 1, 7), func(answer broker.SubAnswer) { answers <- answer })
+			early := request("a1", 2, poison)
+			early.Remaining = 10 * time.Millisecond
+			if got := h.Handle(t.Context(), early); got.Outcome != broker.OutcomeUnknown || got.Reason != broker.ReasonDeadline {
+				t.Errorf("%s: poison: got %v %q, want outcomeUnknown deadline", tt.name, got.Outcome, got.Reason)
+			}
+			if got := <-answers; got.Outcome != broker.OutcomeUnknown || got.Reason != tt.reason {
+				t.Errorf("%s: got %v %q, want outcomeUnknown %q", tt.name, got.Outcome, got.Reason, tt.reason)
+			}
+			if got := h.quarantine.List(time.Now()).Suspects; !slices.Equal(got, tt.want) {
+				t.Errorf("%s: suspects: got %v, want %v", tt.name, got, tt.want)
+			}
+			h.Wait()
+		})
+	}
+}
+
 // TestLimits guards against more requests at a server than its slots, or than its cold limit while it is cold.
 func TestLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/broker/coordination/owner/probe.go
+++ b/internal/broker/coordination/owner/probe.go
@@ -20,6 +20,9 @@
 	unresolvedLimit = 64
 	// failedPollsDown is how many status probes in a row have to time out until the server counts as down.
 	failedPollsDown = 3
+	// verifyTries is how many status probes without a reply after a lost connection count as a crash: a request may
+	// take the server's whole host down.
+	verifyTries = 3
 )
 
 // errNotPermitted says that a probe was not sent because this node may not dispatch.
@@ -51,6 +54,9 @@
 func (s *server) investigate(c *call, now time.Time) {
 	if s.investigation == nil {
 		s.investigation = &investigation{bootID: c.bootID, suspects: make(map[broker.Fingerprint]struct{})}
+		if c.bootID == "" {
+			s.investigation.bootID = s.admitter.BootID()
+		}
 		for _, other := range s.calls {
 			if other.dispatched {
 				s.investigation.suspects[other.sub.Fingerprint] = struct{}{}
@@ -78,12 +84,15 @@
 // there. It uses the slot of the lost request.
 func (s *server) verify() {
 	status, err := s.readStatus()
+	for tries := 1; tries < verifyTries && inconclusive(err); tries++ {
+		status, err = s.readStatus()
+	}
 	now := s.owner.clock.Now()
 	var e effects
 	s.mu.Lock()
 	found := s.investigation
 	s.investigation = nil
-	crashed := errors.Is(err, broker.ErrUnreachable) ||
+	crashed := err != nil && !errors.Is(err, errNotPermitted) ||
 		err == nil && found.bootID != "" && status.BootID != found.bootID
 	s.unresolved = nil
 	if err == nil {
@@ -108,6 +117,11 @@
 	s.apply(&e, nil)
 }
 
+// inconclusive returns whether a probe got neither a reply nor the certainty that there is no process.
+func inconclusive(err error) bool {
+	return err != nil && !errors.Is(err, errNotPermitted) && !errors.Is(err, broker.ErrUnreachable)
+}
+
 func (s *server) reportCrash(found *investigation) {
 	s.owner.counters.crashes.Inc()
 	for _, fingerprint := range slices.Sorted(maps.Keys(found.suspects)) {
