--- a/internal/broker/coordination/admitter/admitter_test.go
+++ b/internal/broker/coordination/admitter/admitter_test.go
@@ -96,185 +96,187 @@
 
 const ms = time.Millisecond
 
+var four = Settings{Slots: 4, ColdConcurrency: 1, ColdSuccesses: 2, ColdStep: 2, AttemptTimeout: 200 * ms}
+
+var sessions = []struct {
+	name string
+	run  func() *session
+}{
+	{"coldStart", func() *session {
+		s := newSession(four)
+		s.submit(1, 1, time.Second)
+		s.submit(2, 1, time.Second)
+		s.probe(100) // the cold limit of one is used: it gets the next slot
+		s.after(30 * ms)
+		s.finish(1, VerdictAnswered, 30*ms, "b1")
+		s.after(ms)
+		s.finish(100, VerdictAnswered, ms, "b1") // a probe is no step of the ramp
+		s.after(30 * ms)
+		s.finish(2, VerdictAnswered, 30*ms, "b1")
+		s.answer(3, 20*ms, "b1")
+		s.answer(4, 20*ms, "b1")
+		return s
+	}},
+	{"silentlyCold", func() *session {
+		s := warmed(four)
+		s.answer(1, 200*ms, "b1") // a single straggler
+		s.answer(2, 10*ms, "b1")
+		for ticket := Ticket(3); ticket < 7; ticket++ {
+			s.answer(ticket, 200*ms, "b1")
+		}
+		s.answer(7, 200*ms, "b1") // still slow: no step of the ramp
+		s.answer(8, 10*ms, "b1")
+		s.answer(9, 10*ms, "b1")
+		s.submit(10, 1, time.Second)
+		s.finish(10, VerdictAnswered, 10*ms, "b2") // restarted without a word
+
+		s.admitter = warmed(four).admitter
+		for ticket := Ticket(1001); ticket < 1005; ticket++ {
+			s.submit(ticket, 1, time.Second)
+		}
+		s.after(60 * ms)
+		s.tick() // four requests overdue at once
+		return s
+	}},
+	{"errorsAndCrash", func() *session {
+		s := warmed(four)
+		s.submit(1, 1, time.Second)
+		s.submit(2, 1, time.Second)
+		s.finish(1, VerdictLost, 5*ms, "")
+		s.submit(3, 1, time.Second) // waits for the verification
+		s.finish(2, VerdictLost, 5*ms, "")
+		s.note("confirm crash", s.admitter.Confirm(true, nil, s.now))
+		s.submit(4, 1, time.Second)
+		s.after(30 * ms)
+		s.submit(5, 1, time.Second) // the one trial after the pause
+		s.submit(6, 1, time.Second)
+		s.finish(5, VerdictAnswered, 10*ms, "b2")
+		for ticket := Ticket(7); ticket < 11; ticket++ {
+			s.submit(ticket, 1, time.Second)
+		}
+		return s
+	}},
+	{"shed", func() *session {
+		s := warmed(twoSlots)
+		s.submit(1, 1, time.Second)
+		s.finish(1, VerdictShed, ms, "b1")
+		s.submit(2, 1, time.Second)
+		s.submit(3, 1, 15*ms) // cannot wait for the end of the pause
+		s.after(20 * ms)
+		s.tick()
+		s.submit(4, 1, time.Second)
+		s.finish(2, VerdictShed, ms, "b1")
+		s.after(20 * ms)
+		s.tick()
+		s.after(20 * ms)
+		s.tick()
+		s.finish(4, VerdictAnswered, 10*ms, "b1")
+		s.submit(5, 1, time.Second)
+		s.submit(6, 1, time.Second) // below the concurrency that was refused
+		for ticket := Ticket(5); ticket < 35; ticket++ {
+			s.admitter.Finish(ticket, Result{Verdict: VerdictAnswered, Latency: 10 * ms}, s.now)
+			s.admitter.Submit(Request{Ticket: ticket + 2, Deadline: s.now.Add(time.Second)}, s.now)
+		}
+		s.finish(35, VerdictAnswered, 10*ms, "b1") // the 32nd answer since
+		s.submit(37, 1, time.Second)
+		return s
+	}},
+	{"drain", func() *session {
+		s := warmed(twoSlots)
+		for ticket := Ticket(1); ticket < 4; ticket++ {
+			s.submit(ticket, 1, time.Second)
+		}
+		s.note("zone out", s.admitter.Configure(twoSlots, broker.ReasonZoneOut, s.now))
+		s.submit(4, 1, time.Second)
+		s.finish(1, VerdictAnswered, 10*ms, "b1")
+		s.note("zone in", s.admitter.Configure(twoSlots, broker.ReasonNone, s.now))
+		s.finish(2, VerdictAnswered, 10*ms, "b1")
+		s.submit(5, 1, time.Second)
+		s.submit(6, 1, time.Second)
+		s.finish(5, VerdictDraining, ms, "b1")
+		s.note("status leaving", s.admitter.ObserveStatus(broker.BackendStatus{BootID: "b1", Draining: true}, s.now))
+		s.note("status b2", s.admitter.ObserveStatus(broker.BackendStatus{BootID: "b2"}, s.now))
+		return s
+	}},
+	{"takeover", func() *session {
+		s := newSession(twoSlots)
+		state := &broker.ServerState{Phase: broker.PhaseWarm, Limit: 2, BootID: "b1", InFlight: 1}
+		s.note("adopt unplanned", s.admitter.Adopt(state, false, s.now))
+		s.submit(1, 1, 100*ms) // the deadline is before the end of the busy time
+		s.submit(2, 1, time.Second)
+		s.submit(3, 1, time.Second)
+		s.after(199 * ms)
+		s.tick()
+		s.after(ms)
+		s.tick()
+		s.finish(2, VerdictAnswered, 10*ms, "b1") // the same boot: warm again
+		s.submit(4, 1, time.Second)
+
+		s.admitter = New(twoSlots)
+		s.note("adopt planned", s.admitter.Adopt(state, true, s.now))
+		s.submit(5, 1, time.Second)
+		s.submit(6, 1, time.Second)
+		s.after(200 * ms)
+		s.tick()
+		return s
+	}},
+	{"priorities", func() *session {
+		s := warmed(twoSlots)
+		s.submit(1, 1, time.Second)
+		s.submit(2, 1, time.Second)
+		s.submit(3, 1, time.Second)
+		s.submit(4, 1, 30*ms)
+		s.submit(5, 1, 12*ms) // cannot be met behind the running ones
+		s.submit(6, 2, 40*ms) // 4 cannot be met behind it any more
+		s.submit(7, 1, time.Second)
+		s.submit(8, 2, time.Second) // the queue is full: the lowest priority goes
+		s.submit(9, 1, time.Second)
+		s.note("cancel 6", s.admitter.Cancel(6, s.now))
+		s.finish(1, VerdictAnswered, 10*ms, "b1")
+		return s
+	}},
+	{"alone", func() *session {
+		s := warmed(twoSlots)
+		s.submit(1, 1, time.Second)
+		s.alone(2)
+		s.submit(3, 0, time.Second)
+		s.finish(1, VerdictAnswered, 10*ms, "b1")
+		s.probe(100)
+		s.finish(2, VerdictAnswered, 10*ms, "b1")
+		return s
+	}},
+	{"lagging", func() *session {
+		s := warmed(twoSlots)
+		s.answer(1, 10*ms, "b2")
+		status := func(bootID string) {
+			s.note("status "+bootID, s.admitter.ObserveStatus(broker.BackendStatus{BootID: bootID}, s.now))
+		}
+		status("b1") // of the process before: neither a new boot nor an end of the drain
+		s.answer(2, 10*ms, "b2")
+		s.submit(3, 1, time.Second)
+		s.finish(3, VerdictDraining, ms, "b2")
+		status("b2")
+		s.after(5 * time.Second)
+		status("b1")
+		status("b2")
+		return s
+	}},
+	{"kinds", func() *session {
+		s := warmed(four)
+		for ticket := Ticket(1); ticket < 6; ticket++ { // a kind that is always slow is no cold start
+			request := Request{Ticket: ticket, Kind: "export", Deadline: s.now.Add(time.Second)}
+			s.note(fmt.Sprintf("submit %d export", ticket), s.admitter.Submit(request, s.now))
+			s.after(200 * ms)
+			s.finish(ticket, VerdictAnswered, 200*ms, "b1")
+		}
+		return s
+	}},
+}
+
 // TestSessions compares whole sessions with golden files. Each guards a guarantee: cold and silently cold servers get
 // no more than the cold limit, shed servers are left alone, draining ends new work, takeovers wait, refusals are early
 // and lowest priority first, suspects run alone.
 func TestSessions(t *testing.T) {
-	four := Settings{Slots: 4, ColdConcurrency: 1, ColdSuccesses: 2, ColdStep: 2, AttemptTimeout: 200 * ms}
-	sessions := []struct {
-		name string
-		run  func() *session
-	}{
-		{"coldStart", func() *session {
-			s := newSession(four)
-			s.submit(1, 1, time.Second)
-			s.submit(2, 1, time.Second)
-			s.probe(100) // the cold limit of one is used: it gets the next slot
-			s.after(30 * ms)
-			s.finish(1, VerdictAnswered, 30*ms, "b1")
-			s.after(ms)
-			s.finish(100, VerdictAnswered, ms, "b1") // a probe is no step of the ramp
-			s.after(30 * ms)
-			s.finish(2, VerdictAnswered, 30*ms, "b1")
-			s.answer(3, 20*ms, "b1")
-			s.answer(4, 20*ms, "b1")
-			return s
-		}},
-		{"silentlyCold", func() *session {
-			s := warmed(four)
-			s.answer(1, 200*ms, "b1") // a single straggler
-			s.answer(2, 10*ms, "b1")
-			for ticket := Ticket(3); ticket < 7; ticket++ {
-				s.answer(ticket, 200*ms, "b1")
-			}
-			s.answer(7, 200*ms, "b1") // still slow: no step of the ramp
-			s.answer(8, 10*ms, "b1")
-			s.answer(9, 10*ms, "b1")
-			s.submit(10, 1, time.Second)
-			s.finish(10, VerdictAnswered, 10*ms, "b2") // restarted without a word
-
-			s.admitter = warmed(four).admitter
-			for ticket := Ticket(1001); ticket < 1005; ticket++ {
-				s.submit(ticket, 1, time.Second)
-			}
-			s.after(60 * ms)
-			s.tick() // four requests overdue at once
-			return s
-		}},
-		{"errorsAndCrash", func() *session {
-			s := warmed(four)
-			s.submit(1, 1, time.Second)
-			s.submit(2, 1, time.Second)
-			s.finish(1, VerdictLost, 5*ms, "")
-			s.submit(3, 1, time.Second) // waits for the verification
-			s.finish(2, VerdictLost, 5*ms, "")
-			s.note("confirm crash", s.admitter.Confirm(true, nil, s.now))
-			s.submit(4, 1, time.Second)
-			s.after(30 * ms)
-			s.submit(5, 1, time.Second) // the one trial after the pause
-			s.submit(6, 1, time.Second)
-			s.finish(5, VerdictAnswered, 10*ms, "b2")
-			for ticket := Ticket(7); ticket < 11; ticket++ {
-				s.submit(ticket, 1, time.Second)
-			}
-			return s
-		}},
-		{"shed", func() *session {
-			s := warmed(twoSlots)
-			s.submit(1, 1, time.Second)
-			s.finish(1, VerdictShed, ms, "b1")
-			s.submit(2, 1, time.Second)
-			s.submit(3, 1, 15*ms) // cannot wait for the end of the pause
-			s.after(20 * ms)
-			s.tick()
-			s.submit(4, 1, time.Second)
-			s.finish(2, VerdictShed, ms, "b1")
-			s.after(20 * ms)
-			s.tick()
-			s.after(20 * ms)
-			s.tick()
-			s.finish(4, VerdictAnswered, 10*ms, "b1")
-			s.submit(5, 1, time.Second)
-			s.submit(6, 1, time.Second) // below the concurrency that was refused
-			for ticket := Ticket(5); ticket < 35; ticket++ {
-				s.admitter.Finish(ticket, Result{Verdict: VerdictAnswered, Latency: 10 * ms}, s.now)
-				s.admitter.Submit(Request{Ticket: ticket + 2, Deadline: s.now.Add(time.Second)}, s.now)
-			}
-			s.finish(35, VerdictAnswered, 10*ms, "b1") // the 32nd answer since
-			s.submit(37, 1, time.Second)
-			return s
-		}},
-		{"drain", func() *session {
-			s := warmed(twoSlots)
-			for ticket := Ticket(1); ticket < 4; ticket++ {
-				s.submit(ticket, 1, time.Second)
-			}
-			s.note("zone out", s.admitter.Configure(twoSlots, broker.ReasonZoneOut, s.now))
-			s.submit(4, 1, time.Second)
-			s.finish(1, VerdictAnswered, 10*ms, "b1")
-			s.note("zone in", s.admitter.Configure(twoSlots, broker.ReasonNone, s.now))
-			s.finish(2, VerdictAnswered, 10*ms, "b1")
-			s.submit(5, 1, time.Second)
-			s.submit(6, 1, time.Second)
-			s.finish(5, VerdictDraining, ms, "b1")
-			s.note("status leaving", s.admitter.ObserveStatus(broker.BackendStatus{BootID: "b1", Draining: true}, s.now))
-			s.note("status b2", s.admitter.ObserveStatus(broker.BackendStatus{BootID: "b2"}, s.now))
-			return s
-		}},
-		{"takeover", func() *session {
-			s := newSession(twoSlots)
-			state := &broker.ServerState{Phase: broker.PhaseWarm, Limit: 2, BootID: "b1", InFlight: 1}
-			s.note("adopt unplanned", s.admitter.Adopt(state, false, s.now))
-			s.submit(1, 1, 100*ms) // the deadline is before the end of the busy time
-			s.submit(2, 1, time.Second)
-			s.submit(3, 1, time.Second)
-			s.after(199 * ms)
-			s.tick()
-			s.after(ms)
-			s.tick()
-			s.finish(2, VerdictAnswered, 10*ms, "b1") // the same boot: warm again
-			s.submit(4, 1, time.Second)
-
-			s.admitter = New(twoSlots)
-			s.note("adopt planned", s.admitter.Adopt(state, true, s.now))
-			s.submit(5, 1, time.Second)
-			s.submit(6, 1, time.Second)
-			s.after(200 * ms)
-			s.tick()
-			return s
-		}},
-		{"priorities", func() *session {
-			s := warmed(twoSlots)
-			s.submit(1, 1, time.Second)
-			s.submit(2, 1, time.Second)
-			s.submit(3, 1, time.Second)
-			s.submit(4, 1, 30*ms)
-			s.submit(5, 1, 12*ms) // cannot be met behind the running ones
-			s.submit(6, 2, 40*ms) // 4 cannot be met behind it any more
-			s.submit(7, 1, time.Second)
-			s.submit(8, 2, time.Second) // the queue is full: the lowest priority goes
-			s.submit(9, 1, time.Second)
-			s.note("cancel 6", s.admitter.Cancel(6, s.now))
-			s.finish(1, VerdictAnswered, 10*ms, "b1")
-			return s
-		}},
-		{"alone", func() *session {
-			s := warmed(twoSlots)
-			s.submit(1, 1, time.Second)
-			s.alone(2)
-			s.submit(3, 0, time.Second)
-			s.finish(1, VerdictAnswered, 10*ms, "b1")
-			s.probe(100)
-			s.finish(2, VerdictAnswered, 10*ms, "b1")
-			return s
-		}},
-		{"lagging", func() *session {
-			s := warmed(twoSlots)
-			s.answer(1, 10*ms, "b2")
-			status := func(bootID string) {
-				s.note("status "+bootID, s.admitter.ObserveStatus(broker.BackendStatus{BootID: bootID}, s.now))
-			}
-			status("b1") // of the process before: neither a new boot nor an end of the drain
-			s.answer(2, 10*ms, "b2")
-			s.submit(3, 1, time.Second)
-			s.finish(3, VerdictDraining, ms, "b2")
-			status("b2")
-			s.after(5 * time.Second)
-			status("b1")
-			status("b2")
-			return s
-		}},
-		{"kinds", func() *session {
-			s := warmed(four)
-			for ticket := Ticket(1); ticket < 6; ticket++ { // a kind that is always slow is no cold start
-				request := Request{Ticket: ticket, Kind: "export", Deadline: s.now.Add(time.Second)}
-				s.note(fmt.Sprintf("submit %d export", ticket), s.admitter.Submit(request, s.now))
-				s.after(200 * ms)
-				s.finish(ticket, VerdictAnswered, 200*ms, "b1")
-			}
-			return s
-		}},
-	}
 	for _, tt := range sessions {
 		t.Run(tt.name, func(t *testing.T) {
 			got := tt.run().log.String()
@@ -379,6 +381,10 @@
 	}
 }
 
+// verdicts are all but draining, which ends a session early; most requests are answered.
+var verdicts = append(slices.Repeat([]Verdict{VerdictAnswered}, 8), VerdictFailed, VerdictShed, VerdictCold,
+	VerdictRefused, VerdictLost, VerdictTimedOut, VerdictUnreachable, VerdictCancelled, VerdictWithheld)
+
 // TestInvariants guards, over random sessions, against more requests at once than slots or the limit at their start,
 // work for a closed server, a suspect in company, and requests that are forgotten or decided twice.
 func TestInvariants(t *testing.T) {
@@ -406,13 +412,14 @@
 					}
 				}
 				runs[action.Ticket] = true
-				if len(runs) > max(a.AnnouncedLimit(), 1) || len(runs) > settings.Slots || closed != broker.ReasonNone {
-					t.Fatalf("%d requests run at limit %d of %d slots, closed %q", len(runs), a.AnnouncedLimit(),
-						settings.Slots, closed)
+				limit := min(max(a.AnnouncedLimit(), 1), settings.Slots)
+				if len(runs) > limit || closed != broker.ReasonNone {
+					t.Fatalf("%d requests run at limit %d, closed %q", len(runs), limit, closed)
 				}
 			}
 			if len(waiting) != a.Queued() || len(runs) != a.InFlight() || a.Queued() > settings.QueueLimit {
-				t.Fatalf("got %d queued and %d running, want %d and %d", a.Queued(), a.InFlight(), len(waiting), len(runs))
+				t.Fatalf("got %d queued and %d running, want %d and %d",
+					a.Queued(), a.InFlight(), len(waiting), len(runs))
 			}
 		}
 		some := func(tickets map[Ticket]bool, label string) Ticket {
@@ -424,15 +431,17 @@
 			case kind < 4 || len(runs) == 0 && kind < 8:
 				waiting[ticket] = true
 				alone[ticket] = rapid.IntRange(0, 9).Draw(t, "alone") == 0
-				take(a.Submit(Request{Ticket: ticket, Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
-					Deadline: now.Add(time.Duration(rapid.IntRange(5, 300).Draw(t, "left")) * ms), Alone: alone[ticket]}, now))
+				deadline := now.Add(time.Duration(rapid.IntRange(5, 300).Draw(t, "left")) * ms)
+				priority := rapid.IntRange(0, 2).Draw(t, "priority")
+				take(a.Submit(
+					Request{Ticket: ticket, Priority: priority, Deadline: deadline, Alone: alone[ticket]}, now))
 			case kind < 8:
 				ended := some(runs, "ended")
 				delete(runs, ended)
-				verdict := Verdict(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 2, 3, 4, 6, 7, 9, 10, 11, 12}).Draw(t, "verdict"))
+				verdict := rapid.SampledFrom(verdicts).Draw(t, "verdict")
 				actions := slices.Clone(a.Finish(ended, Result{Verdict: verdict, BootID: "b1"}, now))
 				take(actions)
-				if slices.ContainsFunc(actions, func(action Action) bool { return action.Kind == ActionVerify }) {
+				if slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == ActionVerify }) {
 					take(a.Confirm(rapid.Bool().Draw(t, "crashed"), nil, now))
 				}
 			case kind == 8 && len(waiting) > 0:
--- a/internal/broker/coordination/deduplicator/deduplicator.go
+++ b/internal/broker/coordination/deduplicator/deduplicator.go
@@ -184,13 +184,15 @@
 	for id, c := range held.claims {
 		exported.Claims = append(exported.Claims, broker.Claim{RequestID: id, Claimed: c.claimed, Answer: c.answer})
 	}
-	slices.SortFunc(exported.Claims, func(a, b broker.Claim) int { return strings.Compare(a.RequestID, b.RequestID) })
+	slices.SortFunc(exported.Claims, func(a, b broker.Claim) int {
+		return strings.Compare(a.RequestID, b.RequestID)
+	})
 	held.open = false
 	return exported
 }
 
-// Import makes this node the claim point with the claims that the previous one exported. A fence only rises: a delayed export of an earlier
-// claim point must not open the time that a later one covered.
+// Import makes this node the claim point with the claims that the previous one exported. A fence only rises: a delayed
+// export of an earlier claim point must not open the time that a later one covered.
 func (d *Deduplicator) Import(claims broker.ShardClaims, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/broker/coordination/deduplicator/deduplicator_test.go
+++ b/internal/broker/coordination/deduplicator/deduplicator_test.go
@@ -79,7 +79,8 @@
 			0, DecisionRun, ""},
 		{"handed over to another node", func(d *Deduplicator, _ string) { d.Export("intake", "s1", epoch) },
 			0, DecisionElsewhere, broker.ReasonNotOwner},
-		{"no room", func(d *Deduplicator, _ string) { d.options.Claims = 0 }, 0, DecisionNotRun, broker.ReasonOverloaded},
+		{"no room", func(d *Deduplicator, _ string) { d.options.Claims = 0 },
+			0, DecisionNotRun, broker.ReasonOverloaded},
 	}
 	for _, tt := range tests {
 		d := newOpen(DefaultOptions())
@@ -106,7 +107,8 @@
 	}
 	for _, tt := range tests {
 		var own *Error
-		if _, err := New(DefaultOptions()).Claim("intake", "s1", tt.id, epoch); !errors.As(err, &own) || own.Kind != tt.want {
+		_, err := New(DefaultOptions()).Claim("intake", "s1", tt.id, epoch)
+		if !errors.As(err, &own) || own.Kind != tt.want {
 			t.Errorf("%q: got %v, want kind %s", tt.id, err, tt.want)
 		}
 	}
--- a/internal/broker/coordination/owner/owner.go
+++ b/internal/broker/coordination/owner/owner.go
@@ -115,7 +115,8 @@
 // Wait returns once every dispatched request and probe has ended; the caller sends no new ones meanwhile.
 func (o *Owner) Wait() { o.work.Wait() }
 
-// SetTable takes a configuration, after the backend took it; servers that it drains or whose zone is out get no new work from now on.
+// SetTable takes a configuration, after the backend took it; servers that it drains or whose zone is out get no new
+// work from now on.
 func (o *Owner) SetTable(table *indexer.Table) {
 	o.views.Update(func(current *view) *view { return &view{table: table, servers: current.servers} })
 	now := o.clock.Now()
