Add the operators' commands

Cause: operators check, submit and undo configurations, take zones and servers out of service and need to see what every node has in force. Change: package cmd holds one file per command; New takes its dependencies and further commands, Run prints errors and returns the documented exit codes.

--- /dev/null
+++ b/cmd/config.go
@@ -0,0 +1,102 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+func configCommand(d *Dependencies) *cli.Command {
+	return &cli.Command{
+		Name:        "config",
+		Usage:       "check, submit and show the configuration",
+		Description: "See the help of each command for examples.",
+		Commands: []*cli.Command{
+			configCheckCommand(), configSubmitCommand(d), configShowCommand(d), configHistoryCommand(d),
+		},
+		Action: unknownCommand,
+	}
+}
+
+// readFile reads a configuration file, or standard input where the name is "-".
+func readFile(c *cli.Command, name string) ([]byte, error) {
+	var data []byte
+	var err error
+	if name == "-" {
+		data, err = io.ReadAll(io.LimitReader(c.Root().Reader, configurator.MaxSize+1))
+	} else {
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, &Error{Op: "read the configuration", Kind: KindFailed, Err: err}
+	}
+	return data, nil
+}
+
+// withStore opens the store that the flags name and runs action within the time allowed for it.
+func (d *Dependencies) withStore(ctx context.Context, c *cli.Command,
+	action func(ctx context.Context, store Store) error) error {
+	store, err := d.OpenStore(c.String(flagStore))
+	if err != nil {
+		return classify("open the store", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
+	defer cancel()
+	return action(ctx, store)
+}
+
+// report prints the result of a change after it is in force, if that is to be awaited.
+func (d *Dependencies) report(ctx context.Context, c *cli.Command, what string, result change) error {
+	if wait := c.Duration(flagWait); wait > 0 {
+		given, err := entries(c)
+		if err != nil {
+			return err
+		}
+		if err := d.waitInForce(ctx, given, result.Revision, wait); err != nil {
+			return err
+		}
+	}
+	out := output(c)
+	if c.Bool(flagJSON) {
+		return writeJSON(out, result)
+	}
+	state := "accepted"
+	if !result.Changed {
+		state = "unchanged"
+	}
+	if c.Duration(flagWait) > 0 {
+		state += ", in force at every node"
+	}
+	if _, err := fmt.Fprintf(out, "%s: revision %d, %s\n", what, result.Revision, state); err != nil {
+		return err
+	}
+	return warnUnserved(c, result.Unserved)
+}
+
+// warnUnserved names shards that no server may serve.
+func warnUnserved(c *cli.Command, unserved []string) error {
+	if len(unserved) == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(c.Root().ErrWriter, "warning: %d shard(s) have no server in service: %s\n",
+		len(unserved), strings.Join(unserved, ", "))
+	return err
+}
+
+// checkWait refuses a wait without a node before anything is changed.
+func checkWait(c *cli.Command) error {
+	if c.Duration(flagWait) < 0 {
+		return usage("--%s must not be negative", flagWait)
+	}
+	if c.Duration(flagWait) == 0 {
+		return nil
+	}
+	_, err := entries(c)
+	return err
+}
--- a/pkg/configurator/validate.go
+++ b/pkg/configurator/validate.go
@@ -158,6 +158,9 @@
 	v.between(path+".concurrency", cold.Concurrency, 1, maxSlots)
 	v.between(path+".successes", cold.Successes, 1, maxSuccesses)
 	v.between(path+".step", cold.Step, 1, maxSlots)
+	if server.Slots < 1 {
+		return // the limits below would only state the consequence
+	}
 	if cold.Concurrency > server.Slots {
 		v.rule(path+".concurrency", "server %q would run %d requests while cold but has %d slots",
 			server.Name, cold.Concurrency, server.Slots)
