--- a/pkg/configurator/configurator_test.go
+++ b/pkg/configurator/configurator_test.go
@@ -300,3 +300,33 @@
 		}
 	})
 }
+
+// BenchmarkParse measures the planned size: 2,800 servers, two for each shard.
+func BenchmarkParse(b *testing.B) {
+	builder := New("planned").Zones(NewZone("a", "west"))
+	service := NewService("search", RoutingScatter)
+	for i := range 1400 {
+		var replicas []string
+		for replica := range 2 {
+			name := fmt.Sprintf("search-%04d-%d", i, replica)
+			ip := netip.AddrFrom4([4]byte{10, byte(replica), byte(i >> 8), byte(i)})
+			builder.Servers(NewServer(name, netip.AddrPortFrom(ip, 9200), "a").Slots(2).Connections(25, 6*time.Millisecond))
+			replicas = append(replicas, name)
+		}
+		service.Shard(fmt.Sprintf("%04d", i), replicas...)
+	}
+	config, err := builder.Services(service).Build()
+	if err != nil {
+		b.Fatal(err)
+	}
+	data, err := Canonical(config)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "bytes")
+	for b.Loop() {
+		if _, err := Parse(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
