--- a/cmd/doc.go
+++ b/cmd/doc.go
@@ -1,2 +1,2 @@
-// Package cmd holds the commands of yuccarock, one file per command.
+// Package cmd holds the commands of the yuccarock program, one file each.
 package cmd
--- a/pkg/configurator/configurator_test.go
+++ b/pkg/configurator/configurator_test.go
@@ -323,10 +323,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.ReportMetric(float64(len(data)), "bytes")
 	for b.Loop() {
 		if _, err := Parse(data); err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(len(data)), "bytes")
 }
