--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -35,11 +35,11 @@
 func serve(ctx context.Context, path string) error {
 	settings, err := loader.Load(path)
 	if err != nil {
-		return err
+		return &Error{Op: "start the daemon", Kind: KindInvalid, Err: err}
 	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
-		return err
+		return &Error{Op: "start the daemon", Kind: KindInvalid, Err: err}
 	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	credentials, err := server.NewFileCredentials(settings.TLS)
--- a/internal/server/claim.go
+++ b/internal/server/claim.go
@@ -138,7 +138,7 @@
 		return *decision.Answer, nil
 	case deduplicator.DecisionUnknown:
 		return unknown(&query, decision.Reason), nil
-	case deduplicator.DecisionNotRun:
+	case deduplicator.DecisionNotRun, deduplicator.DecisionElsewhere:
 		return refuse(&query, decision.Reason), nil
 	}
 	// A lease that lapsed after the first check may have a successor whose fence is below this request ID.
--- a/internal/server/meters.go
+++ b/internal/server/meters.go
@@ -54,6 +54,7 @@
 	names := map[deduplicator.DecisionKind]string{
 		deduplicator.DecisionRun: "run", deduplicator.DecisionAnswer: "answer",
 		deduplicator.DecisionUnknown: "unknown", deduplicator.DecisionNotRun: "notRun",
+		deduplicator.DecisionElsewhere: "elsewhere",
 	}
 	for kind, name := range names {
 		m.claims[kind] = counter(fmt.Sprintf("claims_total{decision=%q}", name))
--- a/main.go
+++ b/main.go
@@ -1,19 +1,17 @@
+// Command yuccarock is a query tier over many shards: the daemon of an entry host and the operators' commands.
 package main
 
 import (
 	"context"
-	"fmt"
 	"os"
 
-	"github.com/urfave/cli/v3"
-
 	"github.com/yuccarock/yuccarock/cmd"
 )
 
+// version is set by the linker of a release build.
+var version = "dev"
+
 func main() {
-	root := &cli.Command{Name: "yuccarock", Commands: []*cli.Command{cmd.NewServe(), cmd.NewDemo()}}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	root := cmd.New(version, cmd.DefaultDependencies(), cmd.NewServe(), cmd.NewDemo())
+	os.Exit(cmd.Run(context.Background(), root, os.Args))
 }
