Print a demo configuration for separate processes

Cause: the README's second page needs a configuration with loopback addresses; the shipped examples name hosts of the users' networks. Change: demo config prints the demonstrated system at consecutive ports.

--- a/cmd/parts.go
+++ b/cmd/parts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/demonstrator"
 	"github.com/yuccarock/yuccarock/internal/server"
 	"github.com/yuccarock/yuccarock/internal/standin/backendserver"
 	"github.com/yuccarock/yuccarock/internal/standin/certifier"
@@ -28,7 +30,7 @@
 
 // newDemoParts returns the commands that start the stand-ins on their own.
 func newDemoParts() []*cli.Command {
-	return []*cli.Command{newDemoStore(), newDemoServers(), newDemoKeys()}
+	return []*cli.Command{newDemoStore(), newDemoConfig(), newDemoServers(), newDemoKeys()}
 }
 
 func newDemoStore() *cli.Command {
@@ -58,6 +60,33 @@
 	}
 }
 
+func newDemoConfig() *cli.Command {
+	return &cli.Command{
+		Name:        "config",
+		Usage:       "print a configuration whose backend servers are at consecutive loopback ports",
+		Description: "Example: yuccarock demo config > config.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "first", Usage: "`ADDRESS` of the first server", Value: "127.0.0.1:21000"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			first, err := netip.ParseAddrPort(command.String("first"))
+			if err != nil {
+				return usage("--first: %v", err)
+			}
+			config, err := demonstrator.Config(first)
+			if err != nil {
+				return err
+			}
+			data, err := configurator.Canonical(config)
+			if err != nil {
+				return err
+			}
+			_, err = command.Root().Writer.Write(data)
+			return err
+		},
+	}
+}
+
 func newDemoServers() *cli.Command {
 	return &cli.Command{
 		Name:        "servers",
--- a/internal/demonstrator/defaults.go
+++ b/internal/demonstrator/defaults.go
@@ -102,3 +102,12 @@
 		configurator.NewRequestKind(intakeKind, intakeService, time.Second).RetryBudget(0.1).Priority(2),
 	).Build()
 }
+
+// Config returns the demonstrated system with backend servers at consecutive ports from first.
+func Config(first netip.AddrPort) (*configurator.Config, error) {
+	addresses := make(map[broker.ServerName]netip.AddrPort)
+	for i, spec := range serverSpecs() {
+		addresses[spec.name] = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
+	}
+	return buildConfig(func(name broker.ServerName) netip.AddrPort { return addresses[name] })
+}
