Warn about shards that one zone holds alone; test cancelled requests

Cause: a shard whose servers are all in one zone is lost with that zone, which "config check" did not say. Change: SingleZone lists such shards and "config check" warns about them. The stand-in of a backend server has a test that a cancelled request frees its slot.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -76,19 +76,24 @@
 	if _, err := fmt.Fprintf(out, "%s: revision %d, %s\n", what, result.Revision, state); err != nil {
 		return err
 	}
-	return warnUnserved(c, result.Unserved)
+	return warn(c, riskUnserved, result.Unserved)
 }
 
-// warnUnserved names shards that no server may serve.
-func warnUnserved(c *cli.Command, unserved []string) error {
-	if len(unserved) == 0 {
+// warn names shards that are at risk.
+func warn(c *cli.Command, risk string, shards []string) error {
+	if len(shards) == 0 {
 		return nil
 	}
-	_, err := fmt.Fprintf(c.Root().ErrWriter, "warning: %d shard(s) have no server in service: %s\n",
-		len(unserved), strings.Join(unserved, ", "))
+	_, err := fmt.Fprintf(c.Root().ErrWriter, "warning: %d shard(s) have %s: %s\n",
+		len(shards), risk, strings.Join(shards, ", "))
 	return err
 }
 
+const (
+	riskUnserved   = "no server in service"
+	riskSingleZone = "all their servers in one zone"
+)
+
 // checkWait refuses a wait without a node before anything is changed.
 func checkWait(c *cli.Command) error {
 	if c.Duration(flagWait) < 0 {
--- a/cmd/config_check.go
+++ b/cmd/config_check.go
@@ -42,17 +42,23 @@
 		return classify("accept the configuration", err)
 	}
 	unserved := configurator.Unserved(config)
+	single := configurator.SingleZone(config)
 	if c.Bool(flagJSON) {
 		return writeJSON(output(c), struct {
-			Valid    bool     `json:"valid"`
-			Bytes    int      `json:"bytes"`
-			MaxBytes int      `json:"maxBytes"`
-			Unserved []string `json:"unserved,omitempty"`
-		}{true, len(canonical), configurator.MaxSize, unserved})
-	}
-	if _, err := fmt.Fprintf(output(c), "%s: valid, %d zones, %d services, %d servers, %d of %d bytes\n", config.Name,
-		len(config.Zones), len(config.Services), len(config.Servers), len(canonical), configurator.MaxSize); err != nil {
+			Valid      bool     `json:"valid"`
+			Bytes      int      `json:"bytes"`
+			MaxBytes   int      `json:"maxBytes"`
+			Unserved   []string `json:"unserved,omitempty"`
+			SingleZone []string `json:"singleZone,omitempty"`
+		}{true, len(canonical), configurator.MaxSize, unserved, single})
+	}
+	_, err = fmt.Fprintf(output(c), "%s: valid, %d zones, %d services, %d servers, %d of %d bytes\n", config.Name,
+		len(config.Zones), len(config.Services), len(config.Servers), len(canonical), configurator.MaxSize)
+	if err != nil {
+		return err
+	}
+	if err := warn(c, riskUnserved, unserved); err != nil {
 		return err
 	}
-	return warnUnserved(c, unserved)
+	return warn(c, riskSingleZone, single)
 }
--- a/cmd/config_submit.go
+++ b/cmd/config_submit.go
@@ -117,7 +117,8 @@
 		if at < 0 || stored.Zones[at].State == zone.State {
 			continue
 		}
-		differences = append(differences, fmt.Sprintf("zone %s from %s to %s", zone.Name, stored.Zones[at].State, zone.State))
+		differences = append(differences,
+			fmt.Sprintf("zone %s from %s to %s", zone.Name, stored.Zones[at].State, zone.State))
 		if keep {
 			zone.State = stored.Zones[at].State
 		}
@@ -132,7 +133,8 @@
 		if !known || was == server.Draining {
 			continue
 		}
-		differences = append(differences, fmt.Sprintf("server %s draining from %v to %v", server.Name, was, server.Draining))
+		differences = append(differences,
+			fmt.Sprintf("server %s draining from %v to %v", server.Name, was, server.Draining))
 		if keep {
 			server.Draining = was
 		}
--- a/cmd/nodes.go
+++ b/cmd/nodes.go
@@ -81,7 +81,7 @@
 	}
 	// An address that was given but does not answer is no fault if no member is there.
 	reports = slices.DeleteFunc(reports, func(r nodeReport) bool {
-		return r.Status == nil && !slices.ContainsFunc(newest.Members, func(m broker.Member) bool { return m.Entry == r.Entry })
+		return r.Status == nil && memberAt(newest.Members, r.Entry) < 0
 	})
 	var others []netip.AddrPort
 	for _, member := range newest.Members {
@@ -96,13 +96,18 @@
 			report.Node, report.Zone = report.Status.Node, report.Status.Zone
 			continue
 		}
-		at := slices.IndexFunc(newest.Members, func(m broker.Member) bool { return m.Entry == report.Entry })
+		at := memberAt(newest.Members, report.Entry)
 		report.Node, report.Zone = newest.Members[at].ID, newest.Members[at].Zone
 	}
 	slices.SortFunc(reports, func(a, b nodeReport) int { return cmp.Compare(a.Node, b.Node) })
 	return reports, nil
 }
 
+// memberAt returns the index of the member with that entry address, or -1.
+func memberAt(members []broker.Member, entry netip.AddrPort) int {
+	return slices.IndexFunc(members, func(m broker.Member) bool { return m.Entry == entry })
+}
+
 func (d *Dependencies) readAll(ctx context.Context, addresses []netip.AddrPort) []nodeReport {
 	addresses = slices.Clone(addresses)
 	slices.SortFunc(addresses, netip.AddrPort.Compare)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -118,7 +118,8 @@
 
 func waitFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.DurationFlag{Name: flagWait, Usage: "wait up to this `DURATION` until the revision is in force at every node"},
+		&cli.DurationFlag{Name: flagWait,
+			Usage: "wait up to this `DURATION` until the revision is in force at every node"},
 		entryFlag(),
 	}
 }
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -132,8 +132,9 @@
 } {
 	unknown := &storer.Error{Op: "put", Kind: storer.KindUnknownOutcome, Err: errors.New("no reply")}
 	complete := caller.Answer{Status: caller.StatusPartial, Snapshot: 7, Revision: 3,
-		Coverage: caller.Coverage{ShardsTotal: 2, ShardsAnswered: 1, Missing: []caller.MissingShard{{Shard: "1", Reason: "cold"}}},
-		Hits:     []caller.Hit{{ID: "h", Score: 0.5, Shard: "0"}}}
+		Coverage: caller.Coverage{ShardsTotal: 2, ShardsAnswered: 1,
+			Missing: []caller.MissingShard{{Shard: "1", Reason: "cold"}}},
+		Hits: []caller.Hit{{ID: "h", Score: 0.5, Shard: "0"}}}
 	query := "query --entry 192.0.2.11:80 --kind search --id r1"
 	return []struct {
 		act  func()
--- a/cmd/store.go
+++ b/cmd/store.go
@@ -61,7 +61,8 @@
 }
 
 // put submits a configuration on top of a revision under a fresh submission ID and returns the new revision.
-func (d *Dependencies) put(ctx context.Context, store Store, config *configurator.Config, on uint64) (uint64, error) {
+func (d *Dependencies) put(ctx context.Context, store Store, config *configurator.Config,
+	on uint64) (uint64, error) {
 	if err := configurator.Validate(config); err != nil {
 		return 0, err
 	}
--- a/cmd/zone.go
+++ b/cmd/zone.go
@@ -64,7 +64,8 @@
 	return d.edit(ctx, c, "zone "+name+" "+string(state), func(config *configurator.Config) (bool, error) {
 		changed, err := configurator.SetZone(config, name, state)
 		if changed {
-			config.AllowAllZonesOut = state == configurator.ZoneOut && (config.AllowAllZonesOut || c.Bool(flagAllOut))
+			permitted := config.AllowAllZonesOut || c.Bool(flagAllOut)
+			config.AllowAllZonesOut = state == configurator.ZoneOut && permitted
 		}
 		return changed, err
 	})
--- a/examples/kvarner/main_test.go
+++ b/examples/kvarner/main_test.go
@@ -17,6 +17,7 @@
 		t.Fatal(err)
 	}
 	if got := printed.Bytes(); !bytes.Equal(got, want) {
-		t.Errorf("go run ./examples/kvarner prints %d bytes that differ from kvarner.json with %d bytes", len(got), len(want))
+		t.Errorf("go run ./examples/kvarner prints %d bytes that differ from kvarner.json with %d bytes",
+			len(got), len(want))
 	}
 }
--- a/internal/standin/backendserver/backendserver_test.go
+++ b/internal/standin/backendserver/backendserver_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -186,6 +187,29 @@
 	}
 }
 
+// Guards against a cancelled request that runs on and keeps its slot.
+func TestCancel(t *testing.T) {
+	server, client := start(t, Faults{Slots: 1, ServiceTime: configurator.Duration(time.Hour)}), newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan int)
+	go func() {
+		status, _ := send(ctx, client, server, "a", good, "1h")
+		done <- status
+	}()
+	for server.Record().Started == 0 {
+		runtime.Gosched()
+	}
+	cancel()
+	<-done
+	server.SetServiceTime(0)
+	if status, got := send(t.Context(), client, server, "b", good, "1h"); status != 200 {
+		t.Errorf("got %d %s, want 200", status, got)
+	}
+	if got := server.Record(); got.Abandoned != 1 || got.Answered != 1 || got.MaxConcurrency != 1 {
+		t.Errorf("got %+v, want one request abandoned and one answered, never two at once", got)
+	}
+}
+
 // Guards against a status endpoint that cannot mislead and against faults of separate processes that are dropped.
 func TestFaultsOverHTTP(t *testing.T) {
 	server, client := start(t, Faults{StartCold: true, ColdConcurrency: 1}), newClient(t)
--- a/pkg/configurator/configurator_test.go
+++ b/pkg/configurator/configurator_test.go
@@ -71,8 +71,12 @@
 	if string(got) != replaced {
 		t.Errorf("after edits: got %s\nwant %s", got, replaced)
 	}
-	if got, want := Unserved(config), []string{"intake/0", "search/1", "search/0", "viewer/0"}; !slices.Equal(got, want) {
-		t.Errorf("unserved: got %v, want %v", got, want)
+	unserved := []string{"intake/0", "search/1", "search/0", "viewer/0"}
+	if got := Unserved(config); !slices.Equal(got, unserved) {
+		t.Errorf("unserved: got %v, want %v", got, unserved)
+	}
+	if got, want := SingleZone(config), []string{"intake/0", "search/0"}; !slices.Equal(got, want) {
+		t.Errorf("in a single zone: got %v, want %v", got, want)
 	}
 	if changed, err := SetZone(config, "b", ZoneIn); changed || err != nil {
 		t.Errorf("no change: got %v, %v", changed, err)
@@ -172,7 +176,8 @@
 			t.Errorf("%s = %v: parser finds structural problem: %v, schema: %v", path, value, structural, err)
 		}
 	}
-	replacements := []any{nil, true, -1, 0, 1, 1.5, 1e6, 1e17, "", "x", "1s", "in", "key", "/", []any{}, []any{7}, map[string]any{}}
+	replacements := []any{nil, true, -1, 0, 1, 1.5, 1e6, 1e17, "", "x", "1s", "in", "key", "/", []any{}, []any{7},
+		map[string]any{}}
 	var walk func(node any, path string)
 	walk = func(node any, path string) {
 		switch node := node.(type) {
--- a/pkg/configurator/edit.go
+++ b/pkg/configurator/edit.go
@@ -34,6 +34,28 @@
 	return true, nil
 }
 
+// SingleZone returns, as "service/shard", every shard whose servers are all in one availability zone, so that it is
+// lost with that zone; there are none where the site has only one zone.
+func SingleZone(config *Config) []string {
+	if len(config.Zones) < 2 {
+		return nil
+	}
+	zones := make(map[string]string, len(config.Servers))
+	for i := range config.Servers {
+		zones[config.Servers[i].Name] = config.Servers[i].Zone
+	}
+	var single []string
+	for _, service := range config.Services {
+		for _, shard := range service.Shards {
+			first := zones[shard.Servers[0]]
+			if !slices.ContainsFunc(shard.Servers, func(name string) bool { return zones[name] != first }) {
+				single = append(single, service.Name+"/"+shard.Name)
+			}
+		}
+	}
+	return single
+}
+
 // Unserved returns, as "service/shard", every shard without a server that may receive new work, because all of
 // its servers are draining or in a zone that is out.
 func Unserved(config *Config) []string {
