--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -183,7 +183,10 @@
 	if none != broker.ReasonNone {
 		return false
 	}
-	if !s.budgets.Retries.Spend() {
+	// The budget limits extra load on backend servers; a refusal by a node never reached one, and a planned handover
+	// refuses a share of all attempts for a moment.
+	free := outcome == broker.OutcomeNotRun && moved(reason)
+	if !free && !s.budgets.Retries.Spend() {
 		s.stats.RetriesDenied++
 		return false
 	}
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -12,7 +12,7 @@
 // pin returns the snapshot to answer from, other than except, with the shards of the query that hold it.
 func (s *Session) pin(except broker.Snapshot) tracker.SnapshotCoverage {
 	if len(s.shards) == len(s.service.Tracked) {
-		return s.service.Pin(s.kind.MinCoverage, except)
+		return s.service.Pin(except)
 	}
 	newest := s.shards[0].tracked.Newest(s.service.Partitioning, except)
 	if newest == 0 {
--- a/internal/broker/state/tracker/view.go
+++ b/internal/broker/state/tracker/view.go
@@ -72,19 +72,12 @@
 // Snapshots returns the snapshots that any shard can answer from, newest first.
 func (s *Service) Snapshots() []SnapshotCoverage { return *s.snapshots.Load() }
 
-// Pin returns the newest snapshot other than except that covers minCoverage of the shards, or else the one with
-// the best coverage, or zero where there is none.
-func (s *Service) Pin(minCoverage float64, except broker.Snapshot) SnapshotCoverage {
-	needed := max(1, Needed(minCoverage, len(s.Tracked)))
+// Pin returns the snapshot other than except that covers the most shards, the newest of equal ones, or zero where
+// there is none. A newer snapshot with less coverage would drop reports that an older one still finds.
+func (s *Service) Pin(except broker.Snapshot) SnapshotCoverage {
 	var best SnapshotCoverage
 	for _, held := range s.Snapshots() {
-		if held.Snapshot == except {
-			continue
-		}
-		if held.Shards >= needed {
-			return held
-		}
-		if held.Shards > best.Shards {
+		if held.Snapshot != except && held.Shards > best.Shards {
 			best = held
 		}
 	}
