--- a/internal/demonstrator/defaults.go
+++ b/internal/demonstrator/defaults.go
@@ -27,7 +27,7 @@
 	connections    = 25
 	connectionCost = 6 * time.Millisecond
 	coldLimit      = 1
-	coldSuccesses  = 20
+	coldSuccesses  = 8
 	coldStep       = 1
 	serviceTime    = 3 * time.Millisecond
 
@@ -38,7 +38,7 @@
 	callers      = 8
 	callInterval = 40 * time.Millisecond
 	queryLimit   = 10
-	intakeEvery  = 10 // one query in this many is a report
+	intakeEvery  = 4 // one query in this many is a report
 )
 
 var zones = []string{"a", "b", "c"}
@@ -102,3 +102,12 @@
 		configurator.NewRequestKind(intakeKind, intakeService, time.Second).RetryBudget(0.1).Priority(2),
 	).Build()
 }
+
+// Config returns the demonstrated system with backend servers at consecutive ports from first.
+func Config(first netip.AddrPort) (*configurator.Config, error) {
+	addresses := make(map[broker.ServerName]netip.AddrPort)
+	for i, spec := range serverSpecs() {
+		addresses[spec.name] = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i))
+	}
+	return buildConfig(func(name broker.ServerName) netip.AddrPort { return addresses[name] })
+}
