Bound the wait after a takeover by the server's own kinds, and the wait to leave

Cause: one 30 s map export made every server unknown for 30 s after a takeover, because the longest deadline of all kinds counted; a stop while the store was down waited the whole stop deadline for the member list. Change: the attempt timeout of a server covers the kinds of its services; leaving waits 5 s for the store.

--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -30,6 +30,7 @@
 			j.handler.OwnershipChanged(servers, nil, a.Planned)
 		}
 		if len(claims) > 0 {
+			j.log.Info("gained claim points", "shards", len(claims), "planned", a.Planned)
 			j.handler.ClaimsGained(claims, a.Planned)
 		}
 	case leaser.Lost:
--- a/internal/broker/coordination/owner/owner.go
+++ b/internal/broker/coordination/owner/owner.go
@@ -200,9 +200,7 @@
 	if table == nil {
 		return settings, nil, broker.ReasonDraining
 	}
-	for i := range table.Config.RequestKinds {
-		settings.AttemptTimeout = max(settings.AttemptTimeout, time.Duration(table.Config.RequestKinds[i].Deadline))
-	}
+	settings.AttemptTimeout = table.AttemptTimeout(name)
 	configured := table.Server(name)
 	if configured == nil {
 		return settings, nil, broker.ReasonDraining
--- a/internal/broker/state/indexer/table.go
+++ b/internal/broker/state/indexer/table.go
@@ -1,6 +1,8 @@
 package indexer
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -30,6 +32,7 @@
 	servers  map[broker.ServerName]*configurator.Server
 	kinds    map[string]*configurator.RequestKind
 	zones    map[string]*configurator.Zone
+	timeouts map[broker.ServerName]time.Duration
 }
 
 // New returns the table of a valid configuration.
@@ -41,6 +44,7 @@
 		servers:  make(map[broker.ServerName]*configurator.Server, len(config.Servers)),
 		kinds:    make(map[string]*configurator.RequestKind, len(config.RequestKinds)),
 		zones:    make(map[string]*configurator.Zone, len(config.Zones)),
+		timeouts: make(map[broker.ServerName]time.Duration, len(config.Servers)),
 	}
 	for i := range config.Servers {
 		t.servers[broker.ServerName(config.Servers[i].Name)] = &config.Servers[i]
@@ -54,10 +58,30 @@
 	for i := range config.Services {
 		service := t.resolve(&config.Services[i])
 		t.services[service.Name] = service
+		t.addTimeouts(service)
 	}
 	return t
 }
 
+// addTimeouts raises the attempt timeout of each server of a service to the longest deadline of its request kinds.
+func (t *Table) addTimeouts(service *Service) {
+	var longest time.Duration
+	for _, kind := range t.kinds {
+		if kind.Service == service.Name {
+			longest = max(longest, time.Duration(kind.Deadline))
+		}
+	}
+	for i := range service.Shards {
+		for _, server := range service.Shards[i].Servers {
+			name := broker.ServerName(server.Name)
+			t.timeouts[name] = max(t.timeouts[name], longest)
+		}
+	}
+}
+
+// AttemptTimeout returns the longest time that a request may run at a server.
+func (t *Table) AttemptTimeout(server broker.ServerName) time.Duration { return t.timeouts[server] }
+
 func (t *Table) resolve(service *configurator.Service) *Service {
 	resolved := &Service{
 		Name:         service.Name,
--- a/internal/demonstrator/load.go
+++ b/internal/demonstrator/load.go
@@ -127,6 +127,7 @@
 		stats.partial++
 	case caller.StatusOutcomeUnknown:
 		stats.unknown++
+		stats.lastError = string(answer.Status) + ": " + answer.Reason
 	default:
 		stats.refused++
 		stats.lastError = string(answer.Status) + ": " + answer.Reason
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,6 +42,9 @@
 	timeToLive = 2 * time.Second
 	// staleGrace covers the way of a request from a caller that resolved just before a change.
 	staleGrace = 500 * time.Millisecond
+	// leaveLimit bounds the wait for the store to take this node off the member list. The hand-over itself needs the
+	// peers only, and they exclude a node that is gone.
+	leaveLimit = 5 * time.Second
 	// announceInterval repeats the states of owned servers, which makes good a lost announcement.
 	announceInterval = 5 * time.Second
 	// announcedFor is how old the last announcement of a server may be for a new owner to trust it.
@@ -220,19 +223,18 @@
 	ctx, cancel := context.WithTimeout(force, time.Duration(s.settings.StopDeadline))
 	defer cancel()
 	left := make(chan struct{})
+	leaving, cancelLeaving := context.WithTimeout(ctx, leaveLimit)
+	defer cancelLeaving()
 	s.tasks.Go(func() {
 		defer close(left)
-		if err := s.joiner.Leave(ctx); err != nil {
+		if err := s.joiner.Leave(leaving); err != nil {
 			s.logger.Warn("could not hand over before the stop", "error", err)
 		}
 	})
 	wait(ctx, timeToLive+staleGrace)
 	s.drainer.Refuse()
 	err := s.drainer.Wait(ctx)
-	select {
-	case <-left:
-	case <-ctx.Done():
-	}
+	<-left
 	s.waitForDispatched(ctx)
 	if shutdown := s.listener.Shutdown(ctx); err == nil && shutdown != nil {
 		err = shutdown
