Wait for the next owner of a server instead of giving up its shard

Cause: in the moment between the release of a server and the announcement of its next owner, entries were refused with notOwner and answered short or notRun although most of the deadline was left. Change: a shard whose attempts were all refused by nodes looks again every 20 ms until half of the deadline has passed; a denial of ownership drops that owner's announcement.

--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -6,6 +6,10 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
+// ownerCheck is the pause before a shard looks for the next owner of its servers; a planned handover takes a few tens
+// of milliseconds.
+const ownerCheck = 20 * time.Millisecond
+
 // Answer takes the answer to an attempt; one that does not match the attempt is counted and never merged.
 func (s *Session) Answer(now time.Time, answer *broker.SubAnswer) Actions {
 	if !s.enter(now) {
@@ -144,7 +148,9 @@
 		if crashed && s.stats.Crashes == 1 {
 			s.clearing = i
 		}
-	case !s.retry(i, outcome, reason):
+	case s.retry(i, outcome, reason):
+	case s.awaitOwner(i, outcome, reason):
+	default:
 		s.miss(i, reason)
 		s.settle(i, outcome)
 	}
@@ -198,6 +204,33 @@
 	return true
 }
 
+// awaitOwner lets a shard look again soon where all its replicas were refused by nodes, as in the moment between the
+// release of a server and the announcement of its next owner.
+func (s *Session) awaitOwner(i int, outcome broker.Outcome, reason broker.Reason) bool {
+	sh := &s.shards[i]
+	if outcome != broker.OutcomeNotRun || !moved(reason) || sh.used == maxAttempts || s.suspect ||
+		s.now >= s.deadline/2 {
+		return false
+	}
+	sh.moving = true
+	s.push(ownerCheck, i, timerOwner)
+	return true
+}
+
+// recheckOwner tries a shard again that waits for its servers' next owner.
+func (s *Session) recheckOwner(i int) {
+	sh := &s.shards[i]
+	sh.moving = false
+	if sh.live > 0 {
+		return
+	}
+	if s.retry(i, broker.OutcomeNotRun, sh.reason) || s.awaitOwner(i, broker.OutcomeNotRun, sh.reason) {
+		return
+	}
+	s.miss(i, sh.reason)
+	s.settle(i, broker.OutcomeNotRun)
+}
+
 // retryable returns whether the outcome of an attempt permits another one.
 func (s *Session) retryable(outcome broker.Outcome, reason broker.Reason) bool {
 	if s.suspect && (s.stats.Crashes > 1 || s.clearing >= 0 || reason != broker.ReasonCrashed) {
--- a/internal/broker/coordination/scatterer/golden_test.go
+++ b/internal/broker/coordination/scatterer/golden_test.go
@@ -144,6 +144,8 @@
 func (s *script) change(state *broker.ServerState, options map[string]string) {
 	for name, value := range options {
 		switch number, _ := strconv.Atoi(value); name {
+		case "owner":
+			state.Owner = broker.NodeID(value)
 		case "phase":
 			state.Phase = broker.Phase(value)
 		case "limit":
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -238,6 +238,8 @@
 		return sh.state == shardOpen && !sh.hedged && sh.hedgeAt == due.at
 	case timerStart:
 		return sh.state == shardHeld && sh.waiting
+	case timerOwner:
+		return sh.state == shardOpen && sh.moving
 	case timerLaunch:
 		return true
 	default:
@@ -251,6 +253,8 @@
 		s.hedge(int(due.shard))
 	case timerStart:
 		s.recheck(int(due.shard))
+	case timerOwner:
+		s.recheckOwner(int(due.shard))
 	case timerLaunch:
 		s.launch()
 	default:
--- a/internal/broker/coordination/scatterer/shard.go
+++ b/internal/broker/coordination/scatterer/shard.go
@@ -45,6 +45,7 @@
 	live     uint8
 	state    shardState
 	waiting  bool // held because no replica takes work now
+	moving   bool // open without an attempt because its servers are changing their owner
 	hedged   bool
 	hedgeAt  time.Duration // when the hedge is due; other hedge timers of the shard are void
 	refused  bool          // an attempt was refused with snapshotMissing
--- a/internal/broker/coordination/scatterer/timers.go
+++ b/internal/broker/coordination/scatterer/timers.go
@@ -9,6 +9,7 @@
 	timerStart                    // the shard's first attempt may fit a cold replica now
 	timerLaunch                   // no shard took the canary, look again
 	timerRelease                  // the canary has had its time
+	timerOwner                    // the shard's servers may have a new owner now
 )
 
 // timer is due at a time since the start of the session.
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -171,6 +171,9 @@
 func (s *Server) HandleMessage(from broker.NodeID, message broker.Message) {
 	switch {
 	case message.SubAnswer != nil:
+		if message.SubAnswer.Reason == broker.ReasonNotOwner {
+			s.tracker.NotOwner(message.SubAnswer.Server, from)
+		}
 		if !s.pending.deliver(message.SubAnswer) {
 			s.meters.lateAnswers.Inc()
 		}
