--- a/internal/broker/coordination/scatterer/merge.go
+++ b/internal/broker/coordination/scatterer/merge.go
@@ -25,7 +25,11 @@
 }
 
 func (m *merger) add(shard broker.ShardName, hits []broker.Hit) {
-	for _, hit := range hits {
+	for i := range hits {
+		if m.limit > 0 && len(m.hits) == m.limit && hits[i].Score < m.hits[0].Score {
+			continue // most hits of a wide query end here, without a copy
+		}
+		hit := hits[i]
 		hit.Shard = shard
 		switch {
 		case m.limit <= 0 || len(m.hits) < m.limit-1:
--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -90,9 +90,7 @@
 // reject stops using the announcements of owner until it announces again; without another owner to fall back
 // to, the server becomes unknown where force is set and else stays as it is.
 func (s *Server) reject(owner broker.NodeID, force bool) bool {
-	if s.State().Owner != owner {
-		return false
-	}
+	current := s.State().Owner == owner
 	var fallback *record
 	for i := range s.owners {
 		held := &s.owners[i]
@@ -100,7 +98,7 @@
 			fallback = held
 		}
 	}
-	if fallback == nil && !force {
+	if current && fallback == nil && !force {
 		return false
 	}
 	for i := range s.owners {
@@ -108,10 +106,14 @@
 			s.owners[i].rejected = true
 		}
 	}
-	if fallback == nil {
+	switch {
+	case !current:
+		return false
+	case fallback == nil:
 		return s.publish(broker.ServerState{Server: s.Name, Phase: broker.PhaseUnknown})
+	default:
+		return s.publish(fallback.state)
 	}
-	return s.publish(fallback.state)
 }
 
 func (s *Server) publish(state broker.ServerState) bool {
