--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -18,6 +18,8 @@
 	defaultDelayShare = 4
 	// recheckShare of the deadline passes between looks for a replica that takes work.
 	recheckShare = 20
+	// hedgeRecheckShare of the hedge delay passes between looks at an empty budget.
+	hedgeRecheckShare = 4
 	// rerunShare of the deadline has to remain for a run on another snapshot.
 	rerunShare = 10
 )
@@ -173,19 +175,25 @@
 	return s.leave()
 }
 
-// LinkDown ends the attempts at a node whose link went down.
+// LinkDown ends the attempts at a node whose link went down; the tracker has to know of it already, so that
+// retries go elsewhere.
 func (s *Session) LinkDown(now time.Time, owner broker.NodeID) Actions {
 	if !s.enter(now) {
 		return s.actions
 	}
+	type position struct{ shard, slot int }
+	var lost []position // collected first, because a failure may send more attempts
 	for i := range s.shards {
 		sh := &s.shards[i]
 		for slot := range sh.attempts[:sh.used] {
 			if made := &sh.attempts[slot]; made.state == attemptLive && made.owner == owner {
-				s.fail(i, slot, broker.OutcomeUnknown, broker.ReasonUnreachable)
+				lost = append(lost, position{shard: i, slot: slot})
 			}
 		}
 	}
+	for _, at := range lost {
+		s.fail(at.shard, at.slot, broker.OutcomeUnknown, broker.ReasonUnreachable)
+	}
 	return s.leave()
 }
 
@@ -240,6 +248,8 @@
 		return sh.state == shardHeld && sh.waiting
 	case timerOwner:
 		return sh.state == shardOpen && sh.moving
+	case timerSupersede:
+		return sh.state == shardOpen && sh.live > 1
 	case timerLaunch:
 		return true
 	default:
@@ -255,6 +265,8 @@
 		s.recheck(int(due.shard))
 	case timerOwner:
 		s.recheckOwner(int(due.shard))
+	case timerSupersede:
+		s.supersede(int(due.shard))
 	case timerLaunch:
 		s.launch()
 	default:
--- a/internal/server/meters.go
+++ b/internal/server/meters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/deduplicator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
 )
@@ -78,3 +79,35 @@
 }
 
 func (m *meters) claim(kind deduplicator.DecisionKind) { m.claims[kind].Inc() }
+
+// refusal counts what this node refused as owner.
+func (m *meters) refusal(reason broker.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_owner_refusals_total{reason=%q}", reason)).Inc()
+}
+
+// observe publishes what the node has in force.
+func (s *Server) observe() {
+	gauge := func(name string, value func() float64) { s.set.GetOrCreateGauge("yuccarock_"+name, value) }
+	gauge("config_revision", func() float64 { return float64(s.adopter.Revision()) })
+	gauge("generation", func() float64 { return float64(s.joiner.Generation()) })
+	gauge("queries_in_progress", func() float64 { return float64(s.drainer.Active()) })
+	gauge("claims", func() float64 {
+		claims, _ := s.claims.Len()
+		return float64(claims)
+	})
+	phases := []broker.Phase{
+		broker.PhaseUnknown, broker.PhaseCold, broker.PhaseRamping, broker.PhaseWarm, broker.PhaseDraining,
+		broker.PhaseDown,
+	}
+	for _, phase := range phases {
+		gauge(fmt.Sprintf("owned_servers{phase=%q}", phase), func() float64 {
+			count := 0
+			for _, state := range s.owner.States() {
+				if state.Phase == phase {
+					count++
+				}
+			}
+			return float64(count)
+		})
+	}
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -211,7 +211,13 @@
 }
 
 // submit gives a sub-request to the owner role of this node, below a span where it is traced.
-func (s *Server) submit(sub broker.SubRequest, reply func(broker.SubAnswer)) {
+func (s *Server) submit(sub broker.SubRequest, answered func(broker.SubAnswer)) {
+	reply := func(answer broker.SubAnswer) {
+		if answer.Outcome == broker.OutcomeNotRun {
+			s.meters.refusal(answer.Reason)
+		}
+		answered(answer)
+	}
 	if sub.TraceParent == "" {
 		s.owner.Submit(sub, reply)
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -157,6 +157,7 @@
 	limits.MaxConcurrent = s.settings.Limits.MaxConcurrent
 	limits.MaxQueryTime = time.Duration(s.settings.Limits.MaxQueryTime)
 	s.listener = listener.New(s, limits, s.set, s.logger)
+	s.observe()
 }
 
 func newNodeID(name string) broker.NodeID {
