--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -26,7 +26,14 @@
 // eventQueue bounds the messages that wait for the event loop; further ones are dropped and counted.
 const eventQueue = 1024
 
-var droppedMessages = metrics.GetOrCreateCounter(`yuccarock_joiner_dropped_messages_total`)
+var (
+	droppedMessages = metrics.GetOrCreateCounter(`yuccarock_joiner_dropped_messages_total`)
+	gainedServers   = metrics.GetOrCreateCounter(`yuccarock_joiner_gained_servers_total`)
+	lostServers     = metrics.GetOrCreateCounter(`yuccarock_joiner_lost_servers_total`)
+	adoptedConfigs  = metrics.GetOrCreateCounter(`yuccarock_joiner_adopted_configurations_total`)
+	refusedConfigs  = metrics.GetOrCreateCounter(`yuccarock_joiner_refused_configurations_total`)
+	storeFailures   = metrics.GetOrCreateCounter(`yuccarock_joiner_store_failures_total`)
+)
 
 // Kind classifies an Error.
 type Kind string
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -25,11 +25,13 @@
 		j.pushMembership(a.To)
 	case leaser.Gained:
 		if servers, _ := split(a.Keys); len(servers) > 0 {
+			gainedServers.Add(len(servers))
 			j.log.Info("gained servers", "servers", len(servers), "planned", a.Planned)
 			j.handler.OwnershipChanged(servers, nil, a.Planned)
 		}
 	case leaser.Lost:
 		if servers, _ := split(a.Keys); len(servers) > 0 {
+			lostServers.Add(len(servers))
 			j.log.Info("lost servers", "servers", len(servers), "planned", a.Planned)
 			j.handler.OwnershipChanged(nil, servers, a.Planned)
 		}
@@ -57,9 +59,11 @@
 func (j *Joiner) offer(object broker.ConfigObject) {
 	adopted, err := j.adopter.Offer(object)
 	if err != nil {
+		refusedConfigs.Inc()
 		j.log.Error("configuration refused", "revision", object.Revision, "error", err)
 	}
 	if adopted {
+		adoptedConfigs.Inc()
 		j.log.Info("configuration adopted", "revision", object.Revision)
 		j.tableChanged()
 	}
--- a/internal/broker/coordination/leaser/core.go
+++ b/internal/broker/coordination/leaser/core.go
@@ -20,6 +20,7 @@
 	absent     time.Time // since when its host is missing from the host list
 	generation broker.Generation
 	excluded   map[broker.NodeID]struct{} // as reported in the current generation
+	stopped    time.Time                  // when it was known to have excluded itself in this generation
 	grant      time.Time                  // send time of the newest granted heartbeat of the current generation
 }
 
@@ -186,11 +187,11 @@
 	}
 	p.heard, p.met = now, true
 	if e.Heartbeat != nil {
-		c.note(p, e.From, e.Heartbeat.Generation, e.Heartbeat.Excluded)
+		c.note(now, p, e.From, e.Heartbeat.Generation, e.Heartbeat.Excluded)
 		c.reply(e.From, e.Heartbeat)
 	}
 	if e.Reply != nil {
-		c.note(p, e.From, e.Reply.Generation, e.Reply.Excluded)
+		c.note(now, p, e.From, e.Reply.Generation, e.Reply.Excluded)
 		c.count(p, e.Reply)
 	}
 	if p.generation < c.membership.Generation && now.Sub(p.pushed) >= c.settings.Heartbeat {
@@ -200,7 +201,9 @@
 }
 
 // note records the generation and exclusions that a node reports, and adds its exclusions to the own ones.
-func (c *Core) note(p *peer, from broker.NodeID, generation broker.Generation, excluded []broker.NodeID) {
+func (c *Core) note(
+	now time.Time, p *peer, from broker.NodeID, generation broker.Generation, excluded []broker.NodeID,
+) {
 	if generation < p.generation {
 		return
 	}
@@ -218,6 +221,9 @@
 	if !c.isMember(from) && !c.excludesAll(excluded) {
 		return
 	}
+	if p.stopped.IsZero() && contains(excluded, from) {
+		p.stopped = now
+	}
 	if p.excluded == nil {
 		p.excluded = make(map[broker.NodeID]struct{}, len(excluded))
 	}
--- a/internal/broker/coordination/leaser/doc.go
+++ b/internal/broker/coordination/leaser/doc.go
@@ -13,5 +13,6 @@
 //     earlier generation that may still be in use has reported the new generation.
 //   - A member that held a key when it entered a generation keeps it without a wait, on the grants of the
 //     previous generation until they expire, if it went through every generation in order.
+//   - A member that has reported its own exclusion has stopped, which ends the wait for it.
 //   - A release by the holder replaces the wait for this holder, not the wait for other excluded members.
 package leaser
--- a/internal/broker/coordination/leaser/generation.go
+++ b/internal/broker/coordination/leaser/generation.go
@@ -119,7 +119,7 @@
 			slices.ContainsFunc(c.past, func(p broker.PastMembers) bool { return listed(p.Members, id) })
 	}
 	for id, p := range c.peers {
-		p.excluded, p.grant = nil, time.Time{}
+		p.excluded, p.grant, p.stopped = nil, time.Time{}, time.Time{}
 		if !wanted(id) && now.Sub(p.heard) > forgetAfter {
 			delete(c.peers, id)
 		}
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		s.active, s.since = false, time.Time{}
-		if c.leaving && live && s.owner != "" {
+		if live && s.owner != "" {
 			handover[s.owner] = append(handover[s.owner], r.Key)
 			planned = append(planned, r.Key)
 		} else {
@@ -151,15 +151,25 @@
 			byRelease = true
 			continue
 		}
-		reported := c.excluded[id]
-		if reported.IsZero() {
+		end, known := c.endOf(id)
+		if !known {
 			return time.Time{}, false, false
 		}
-		at = later(at, reported.Add(c.settings.Wait))
+		at = later(at, end)
 	}
 	return later(at, s.notBefore), byRelease, true
 }
 
+// endOf returns the time from which an excluded member certainly dispatches nothing. One that has excluded itself
+// has stopped by then; the delay lets its release arrive first.
+func (c *Core) endOf(id broker.NodeID) (time.Time, bool) {
+	if p := c.peers[id]; p != nil && !p.stopped.IsZero() {
+		return p.stopped.Add(2 * c.settings.Heartbeat), true
+	}
+	reported := c.excluded[id]
+	return reported.Add(c.settings.Wait), !reported.IsZero()
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
