Keep a partitioned node from joining again and again

Cause: a node cut off from its peers but not from the store rejoined at once, took over servers that it could not serve, was excluded again, and so on: 10 servers had no owner 5.35 s after the partition began. Change: a process that hears no majority waits 10 s before it joins, doubled up to 1 min until it has held a lease. Conclusion: a restart of a whole cell takes 10 s longer than before.

--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -96,6 +96,11 @@
 	RetryMax time.Duration
 	// FetchRetry is the interval at which a configuration is asked for again.
 	FetchRetry time.Duration
+	// JoinAlone is how long a process that does not hear a majority waits before it joins, and JoinAloneMax the
+	// limit to which this doubles. A node that only the store can reach would take servers that it cannot
+	// serve; but after a restart of the whole cell somebody has to be the first.
+	JoinAlone    time.Duration
+	JoinAloneMax time.Duration
 }
 
 // DefaultSettings returns the settings for a cell.
@@ -110,6 +115,8 @@
 		RetryMin:     50 * time.Millisecond,
 		RetryMax:     2 * time.Second,
 		FetchRetry:   500 * time.Millisecond,
+		JoinAlone:    10 * time.Second,
+		JoinAloneMax: time.Minute,
 	}
 }
 
@@ -137,6 +144,8 @@
 	left       chan struct{}
 	leftOnce   bool
 	rejoinAt   time.Time
+	joinAt     time.Time // when this process joins without hearing a majority
+	joinAlone  time.Duration
 	removeAt   time.Time // when a leaving process removes itself; a release takes effect before that
 	handovers  []handover
 	fetchAt    time.Time
@@ -153,18 +162,19 @@
 	adopter *adopter.Adopter, handler Handler, log *slog.Logger, seed uint64,
 ) *Joiner {
 	j := &Joiner{
-		settings: settings,
-		clock:    clock,
-		store:    store,
-		peers:    peers,
-		adopter:  adopter,
-		handler:  handler,
-		log:      log,
-		random:   rand.New(rand.NewPCG(seed, 0)),
-		events:   make(chan func(), eventQueue),
-		stopped:  make(chan struct{}),
-		self:     self,
-		left:     make(chan struct{}),
+		settings:  settings,
+		clock:     clock,
+		store:     store,
+		peers:     peers,
+		adopter:   adopter,
+		handler:   handler,
+		log:       log,
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		events:    make(chan func(), eventQueue),
+		stopped:   make(chan struct{}),
+		self:      self,
+		joinAlone: settings.JoinAlone,
+		left:      make(chan struct{}),
 	}
 	j.core.Store(leaser.New(settings.Leaser, self, clock.Now()))
 	return j
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -42,6 +42,9 @@
 	case leaser.Rejoin:
 		j.rejoinAt = now.Add(j.jitter(j.settings.RetryMin, j.settings.RetryMax/2))
 	case leaser.Changed:
+		if a.To == leaser.LeaseHeld {
+			j.joinAlone = j.settings.JoinAlone
+		}
 		j.log.Info("lease changed", "from", string(a.From), "to", string(a.To))
 	}
 }
@@ -139,7 +142,7 @@
 
 // rejoin replaces the core by one of a new incarnation, which speaks for nothing that the old one granted.
 func (j *Joiner) rejoin(now time.Time) {
-	j.rejoinAt = time.Time{}
+	j.rejoinAt, j.joinAt = time.Time{}, time.Time{}
 	j.self = j.handler.NewIncarnation(j.self)
 	j.handovers = nil
 	j.log.Info("rejoining", "node", j.self.ID)
--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -71,7 +71,7 @@
 		if j.isMember() && !now.Before(j.removeAt) {
 			j.startRewrite(now, []broker.NodeID{j.self.ID})
 		}
-	case !j.isMember():
+	case !j.isMember() && j.mayJoin(now, core):
 		j.startJoin()
 	}
 	place := j.watchPlace(core)
@@ -88,6 +88,18 @@
 	}
 }
 
+// mayJoin returns whether this process hears enough members to join, or has waited long enough without.
+func (j *Joiner) mayJoin(now time.Time, core *leaser.Core) bool {
+	if core.InContact(now) {
+		return true
+	}
+	if j.joinAt.IsZero() {
+		j.joinAt = now.Add(j.joinAlone)
+		j.joinAlone = min(2*j.joinAlone, j.settings.JoinAloneMax)
+	}
+	return !now.Before(j.joinAt)
+}
+
 // watchPlace returns the place of this process among the members that watch the store. A process that does not
 // hold its lease cannot rely on others and watches as well.
 func (j *Joiner) watchPlace(core *leaser.Core) int {
@@ -165,8 +177,13 @@
 
 // startJoin adds this process to the member list in place of its predecessors under the same peer address.
 func (j *Joiner) startJoin() {
-	self := j.self
-	j.startWrite(func(members []broker.Member) []broker.Member {
+	self, known := j.self, j.membership.Generation
+	j.startWrite(func(base broker.Membership) []broker.Member {
+		members := slices.Clone(base.Members)
+		if base.Generation != known {
+			// Whether to join depends on who is heard of the members that are read now.
+			return members
+		}
 		members = slices.DeleteFunc(members, func(m broker.Member) bool {
 			return m.Peer == self.Peer || m.ID == self.ID
 		})
@@ -179,14 +196,14 @@
 	if !j.write.due(now) {
 		return
 	}
-	j.startWrite(func(members []broker.Member) []broker.Member {
-		return slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
+	j.startWrite(func(base broker.Membership) []broker.Member {
+		return slices.DeleteFunc(slices.Clone(base.Members), func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
 	})
 }
 
 // startWrite reads the member list, changes it and writes it where it has not changed meanwhile. A lost reply
 // is resolved by the next attempt, which reads the list first and finds the change made.
-func (j *Joiner) startWrite(change func([]broker.Member) []broker.Member) {
+func (j *Joiner) startWrite(change func(broker.Membership) []broker.Member) {
 	key := MembersKey(j.settings.Cell)
 	confirmed, ok := j.core.Load().Confirmed()
 	var result broker.Membership
@@ -200,7 +217,7 @@
 			return err
 		}
 		result = base
-		next := leaser.Advance(base, change, ok && confirmed == base.Generation)
+		next := leaser.Advance(base, change(base), ok && confirmed == base.Generation)
 		if next == nil {
 			return nil
 		}
--- a/internal/broker/coordination/leaser/list.go
+++ b/internal/broker/coordination/leaser/list.go
@@ -7,12 +7,9 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
-// Advance returns the member list that follows base, or nil where change has nothing to do and there is nothing
+// Advance returns the member list that follows base, or nil where members are the same and there is nothing
 // to drop. Confirmed is whether the writer knows that all generations before base have ended.
-func Advance(
-	base broker.Membership, change func([]broker.Member) []broker.Member, confirmed bool,
-) *broker.Membership {
-	members := change(slices.Clone(base.Members))
+func Advance(base broker.Membership, members []broker.Member, confirmed bool) *broker.Membership {
 	slices.SortFunc(members, func(a, b broker.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	if slices.Equal(members, base.Members) && (!confirmed || len(base.Earlier) == 0) {
 		return nil
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -226,6 +226,20 @@
 	return c.member && (!c.confirmed || c.Lifecycle() == LeaseLapsed || c.Lifecycle() == LeaseWaiting)
 }
 
+// InContact returns whether this process, as a member, would hear a majority; only for the goroutine that calls
+// Step.
+func (c *Core) InContact(now time.Time) bool {
+	heard := 0
+	for i := range c.membership.Members {
+		m := &c.membership.Members[i]
+		p := c.peers[m.ID]
+		if m.Peer != c.self.Peer && p != nil && p.met && now.Sub(p.heard) <= c.settings.Silence {
+			heard++
+		}
+	}
+	return len(c.membership.Members) == 0 || heard >= majority(len(c.membership.Members))-1
+}
+
 // Live returns the members that are not excluded; only for the goroutine that calls Step.
 func (c *Core) Live() []broker.Member {
 	live := make([]broker.Member, 0, len(c.membership.Members))
