--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -35,6 +35,7 @@
 		}
 	case leaser.Lost:
 		if servers, _ := split(a.Keys); len(servers) > 0 {
+			lostServers.Add(len(servers))
 			j.log.Info("lost servers", "servers", len(servers), "planned", a.Planned)
 			j.handler.OwnershipChanged(nil, servers, a.Planned)
 		}
@@ -45,6 +46,9 @@
 	case leaser.Rejoin:
 		j.rejoinAt = now.Add(j.jitter(j.settings.RetryMin, j.settings.RetryMax/2))
 	case leaser.Changed:
+		if a.To == leaser.LeaseHeld {
+			j.joinAlone = j.settings.JoinAlone
+		}
 		j.log.Info("lease changed", "from", string(a.From), "to", string(a.To))
 	}
 }
@@ -62,9 +66,11 @@
 func (j *Joiner) offer(object broker.ConfigObject) {
 	adopted, err := j.adopter.Offer(object)
 	if err != nil {
+		refusedConfigs.Inc()
 		j.log.Error("configuration refused", "revision", object.Revision, "error", err)
 	}
 	if adopted {
+		adoptedConfigs.Inc()
 		j.log.Info("configuration adopted", "revision", object.Revision)
 		j.tableChanged()
 	}
@@ -140,7 +146,7 @@
 
 // rejoin replaces the core by one of a new incarnation, which speaks for nothing that the old one granted.
 func (j *Joiner) rejoin(now time.Time) {
-	j.rejoinAt = time.Time{}
+	j.rejoinAt, j.joinAt = time.Time{}, time.Time{}
 	j.self = j.handler.NewIncarnation(j.self)
 	j.handovers = nil
 	j.log.Info("rejoining", "node", j.self.ID)
--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -44,6 +44,7 @@
 		j.post(func() {
 			t.running, t.cancel = false, nil
 			if err != nil {
+				storeFailures.Inc()
 				t.retry = min(max(2*t.retry, j.settings.RetryMin), j.settings.RetryMax)
 				t.next = j.clock.Now().Add(j.jitter(t.retry/2, t.retry))
 				return
@@ -75,7 +76,7 @@
 		if j.isMember() && !now.Before(j.removeAt) {
 			j.startRewrite(now, []broker.NodeID{j.self.ID})
 		}
-	case !j.isMember() && j.joinDue(now):
+	case !j.isMember() && j.joinDue(now) && j.mayJoin(now, core):
 		j.startJoin()
 	}
 	place := j.watchPlace(core)
@@ -92,6 +93,18 @@
 	}
 }
 
+// mayJoin returns whether this process hears enough members to join, or has waited long enough without.
+func (j *Joiner) mayJoin(now time.Time, core *leaser.Core) bool {
+	if core.InContact(now) {
+		return true
+	}
+	if j.joinAt.IsZero() {
+		j.joinAt = now.Add(j.joinAlone)
+		j.joinAlone = min(2*j.joinAlone, j.settings.JoinAloneMax)
+	}
+	return !now.Before(j.joinAt)
+}
+
 // watchPlace returns the place of this process among the members that watch the store. A process that does not
 // hold its lease cannot rely on others and watches as well.
 func (j *Joiner) watchPlace(core *leaser.Core) int {
@@ -167,9 +180,6 @@
 	}, func() { j.step(j.clock.Now(), leaser.HostList{Hosts: hosts}) })
 }
 
-// anyGeneration makes startWrite change the list whatever its generation is.
-const anyGeneration = ^broker.Generation(0)
-
 // joinDue returns whether the generation in force has lasted long enough for its handovers.
 func (j *Joiner) joinDue(now time.Time) bool {
 	return len(j.membership.Members) <= smallCell || now.Sub(j.generationAt) >= joinSpacing
@@ -177,8 +187,13 @@
 
 // startJoin adds this process to the member list in place of its predecessors under the same peer address.
 func (j *Joiner) startJoin() {
-	self := j.self
-	j.startWrite(j.membership.Generation, func(members []broker.Member) []broker.Member {
+	self, known := j.self, j.membership.Generation
+	j.startWrite(func(base broker.Membership) []broker.Member {
+		members := slices.Clone(base.Members)
+		if base.Generation != known {
+			// Whether to join depends on who is heard of the members that are read now.
+			return members
+		}
 		members = slices.DeleteFunc(members, func(m broker.Member) bool {
 			return m.Peer == self.Peer || m.ID == self.ID
 		})
@@ -191,15 +206,14 @@
 	if !j.write.due(now) {
 		return
 	}
-	j.startWrite(anyGeneration, func(members []broker.Member) []broker.Member {
-		return slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
+	j.startWrite(func(base broker.Membership) []broker.Member {
+		return slices.DeleteFunc(slices.Clone(base.Members), func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
 	})
 }
 
 // startWrite reads the member list, changes it and writes it where it has not changed meanwhile. A lost reply
 // is resolved by the next attempt, which reads the list first and finds the change made.
-// Where expected is a generation, a newer list with more members than a starting cell has is adopted and not changed.
-func (j *Joiner) startWrite(expected broker.Generation, change func([]broker.Member) []broker.Member) {
+func (j *Joiner) startWrite(change func(broker.Membership) []broker.Member) {
 	key := MembersKey(j.settings.Cell)
 	confirmed, ok := j.core.Load().Confirmed()
 	var result broker.Membership
@@ -213,10 +227,7 @@
 			return err
 		}
 		result = base
-		if expected != anyGeneration && base.Generation != expected && len(base.Members) > smallCell {
-			return nil
-		}
-		next := leaser.Advance(base, change, ok && confirmed == base.Generation)
+		next := leaser.Advance(base, change(base), ok && confirmed == base.Generation)
 		if next == nil {
 			return nil
 		}
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		s.active, s.since = false, time.Time{}
-		if c.leaving && live && s.owner != "" {
+		if live && s.owner != "" {
 			next := successor{to: s.owner, cleared: c.precedingEnded(s, now)}
 			handover[next] = append(handover[next], r.Key)
 			planned = append(planned, r.Key)
@@ -159,29 +159,18 @@
 			byRelease = true
 			continue
 		}
-		if c.knowsExclusion(id) {
+		if p := c.peers[id]; released && p != nil && !p.stopped.IsZero() {
 			continue
 		}
-		reported := c.excluded[id]
-		if reported.IsZero() {
+		end, known := c.endOf(id)
+		if !known {
 			return time.Time{}, false, false
 		}
-		at = later(at, reported.Add(c.settings.Wait))
+		at = later(at, end)
 	}
 	return later(at, s.notBefore), byRelease, true
 }
 
-// knowsExclusion returns whether an excluded member has itself reported that it is excluded in this generation, after
-// which it dispatches no more in it.
-func (c *Core) knowsExclusion(id broker.NodeID) bool {
-	p := c.peers[id]
-	if p == nil || !c.isExcluded(id) {
-		return false
-	}
-	_, knows := p.excluded[id]
-	return knows
-}
-
 // precedingEnded returns whether no member ranked before this one can dispatch in this generation any more.
 func (c *Core) precedingEnded(s *slot, now time.Time) bool {
 	if s.cleared {
@@ -191,16 +180,23 @@
 		if id == c.self.ID {
 			return true
 		}
-		if c.knowsExclusion(id) {
-			continue
-		}
-		if reported := c.excluded[id]; reported.IsZero() || now.Before(reported.Add(c.settings.Wait)) {
+		if end, known := c.endOf(id); !known || now.Before(end) {
 			return false
 		}
 	}
 	return false
 }
 
+// endOf returns the time from which an excluded member certainly dispatches nothing. One that has excluded itself
+// has stopped by then; the delay lets its release arrive first.
+func (c *Core) endOf(id broker.NodeID) (time.Time, bool) {
+	if p := c.peers[id]; p != nil && !p.stopped.IsZero() {
+		return p.stopped.Add(2 * c.settings.Heartbeat), true
+	}
+	reported := c.excluded[id]
+	return reported.Add(c.settings.Wait), !reported.IsZero()
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -257,6 +253,20 @@
 	return c.member && (!c.confirmed || c.Lifecycle() == LeaseLapsed || c.Lifecycle() == LeaseWaiting)
 }
 
+// InContact returns whether this process, as a member, would hear a majority; only for the goroutine that calls
+// Step.
+func (c *Core) InContact(now time.Time) bool {
+	heard := 0
+	for i := range c.membership.Members {
+		m := &c.membership.Members[i]
+		p := c.peers[m.ID]
+		if m.Peer != c.self.Peer && p != nil && p.met && now.Sub(p.heard) <= c.settings.Silence {
+			heard++
+		}
+	}
+	return len(c.membership.Members) == 0 || heard >= majority(len(c.membership.Members))-1
+}
+
 // Live returns the members that are not excluded; only for the goroutine that calls Step.
 func (c *Core) Live() []broker.Member {
 	live := make([]broker.Member, 0, len(c.membership.Members))
