Split the demo into a testbed and its steps

Cause: tests of the whole system need the demo's store, backend servers and daemons without its steps. Change: internal/standin/testbed starts and inspects a system; the demo's steps use it. A daemon takes an optional Network, with which the testbed cuts it off, drops its packets or silences its callers' connections; linker and dispatcher get one optional hook each for it. The backend stand-in records the last traceparent.

--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -21,6 +21,8 @@
 	Silence time.Duration
 	// AnswerBytes is the largest body of an answer.
 	AnswerBytes int
+	// Dial opens TCP connections; nil uses the operating system's.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // DefaultOptions returns the bounds for production.
@@ -45,10 +47,12 @@
 
 // New returns a dispatcher without servers; SetTable gives their addresses and caps. The metrics go to set.
 func New(options Options, set *metrics.Set) *Dispatcher {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Dispatcher{
 		options: options,
-		dial:    dialer.DialContext,
+		dial:    options.Dial,
 		counters: &counters{
 			opened:      set.GetOrCreateCounter("yuccarock_backend_connections_opened_total"),
 			closed:      set.GetOrCreateCounter("yuccarock_backend_connections_closed_total"),
--- a/internal/broker/transport/linker/linker.go
+++ b/internal/broker/transport/linker/linker.go
@@ -87,6 +87,9 @@
 		return wrap(op, KindListen, err)
 	}
 	transport := &quic.Transport{Conn: socket}
+	if l.options.Packets != nil {
+		transport.Conn = l.options.Packets(socket)
+	}
 	tlsConfig := acceptorTLS(l.credentials, l.meter.failures[incoming].Inc)
 	listener, err := transport.Listen(tlsConfig, l.options.quic())
 	if err != nil {
--- a/internal/broker/transport/linker/options.go
+++ b/internal/broker/transport/linker/options.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"net"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -42,6 +43,8 @@
 	FallbackDelay time.Duration
 	QueueMessages int
 	QueueBytes    int
+	// Packets wraps the UDP socket, with which tests lose packets; nil uses the socket itself.
+	Packets func(*net.UDPConn) net.PacketConn
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/demonstrator/load.go
+++ b/internal/demonstrator/load.go
@@ -1,15 +1,13 @@
 package demonstrator
 
 import (
-	"context"
-	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
+	"github.com/yuccarock/yuccarock/internal/standin/testbed"
 	"github.com/yuccarock/yuccarock/pkg/caller"
 )
 
@@ -22,6 +20,7 @@
 // phaseStats are the results of the queries that began in one phase.
 type phaseStats struct {
 	name      string
+	begin     time.Time
 	latency   *hdrhistogram.Histogram // microseconds
 	queries   int
 	complete  int
@@ -37,16 +36,19 @@
 
 // load sends queries through the caller's client until it is stopped and checks each answer.
 type load struct {
-	client  *caller.Client
-	checker *checker
-	number  atomic.Uint64
+	testbed.Load
+	system *testbed.System
 
-	mu     sync.Mutex
-	phases []*phaseStats
+	mu         sync.Mutex
+	phases     []*phaseStats
+	violations []error
 }
 
-func newLoad(client *caller.Client, check *checker) *load {
-	l := &load{client: client, checker: check}
+func newLoad(client *caller.Client, system *testbed.System) *load {
+	l := &load{system: system}
+	l.Load = testbed.Load{
+		Client: client, Callers: callers, Interval: callInterval, ReportEvery: reportEvery, Done: l.record,
+	}
 	l.phase("start")
 	return l
 }
@@ -56,59 +58,39 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.phases = append(l.phases, &phaseStats{
-		name: name, latency: hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
+		name: name, begin: time.Now(), latency: hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		missing: make(map[string]int),
 	})
 }
 
-func (l *load) current() *phaseStats {
+// violation returns the first answer that was not true.
+func (l *load) violation() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.phases[len(l.phases)-1]
-}
-
-// run returns after ctx ends and all queries have their answer.
-func (l *load) run(ctx context.Context) {
-	var running sync.WaitGroup
-	for range callers {
-		running.Go(func() {
-			ticker := time.NewTicker(callInterval)
-			defer ticker.Stop()
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case <-ticker.C:
-					l.one(context.WithoutCancel(ctx))
-				}
-			}
-		})
+	if len(l.violations) == 0 {
+		return nil
 	}
-	running.Wait()
+	return errors.Wrapf(l.violations[0], "%d answers are not true, the first", len(l.violations))
 }
 
-func (l *load) one(ctx context.Context) {
-	number := l.number.Add(1)
-	query := caller.Query{
-		RequestID: uuid.Must(uuid.NewV7()).String(),
-		Kind:      searchKind, Limit: queryLimit, Body: body(number), Timeout: 2 * time.Second,
-	}
-	if number%intakeEvery == 0 {
-		query.Kind, query.Key = intakeKind, fmt.Sprintf("site-%d", number)
+func (l *load) record(result testbed.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stats := l.phases[0]
+	for _, phase := range l.phases {
+		if !result.Begin.Before(phase.begin) {
+			stats = phase
+		}
 	}
-	stats := l.current()
-	start := time.Now()
-	answer, err := l.client.Query(ctx, query)
-	elapsed := time.Since(start)
-	if err == nil && query.Kind == searchKind {
-		l.checker.checkSearch(&query, &answer)
+	if result.Err == nil && result.Query.Kind == testbed.SearchKind {
+		if err := l.system.CheckSearch(&result.Query, &result.Answer); err != nil {
+			l.violations = append(l.violations, err)
+		}
 	}
-	l.record(stats, &answer, err, elapsed)
+	stats.add(&result.Answer, result.Err, result.Elapsed)
 }
 
-func (l *load) record(stats *phaseStats, answer *caller.Answer, err error, elapsed time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (stats *phaseStats) add(answer *caller.Answer, err error, elapsed time.Duration) {
 	stats.queries++
 	if err != nil {
 		stats.errors++
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -1,15 +1,9 @@
 package demonstrator
 
 import (
-	"bytes"
 	"fmt"
-	"strconv"
-	"strings"
 	"text/tabwriter"
 	"time"
-
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 )
 
 // report holds what the steps measured.
@@ -17,53 +11,8 @@
 	inForce     []time.Duration
 	zoneOutLast time.Duration
 	crashes     int
-}
-
-// checkBackends checks the limits that every stand-in has recorded over the whole run.
-func (s *System) checkBackends() error {
-	for _, spec := range s.specs {
-		record := s.backends[spec.name].Record()
-		limits := []struct {
-			what      string
-			got, want int
-		}{
-			{"requests at once", record.MaxConcurrency, slots},
-			{"requests at once in a cold start", record.MaxColdConcurrency, coldLimit},
-			{"connections", record.MaxConnections, connections},
-		}
-		for _, limit := range limits {
-			if limit.got > limit.want {
-				return &Error{
-					Op: "keep the limits of " + string(spec.name), Kind: KindViolation,
-					Err: errors.Errorf("%s: got %d, want at most %d", limit.what, limit.got, limit.want),
-				}
-			}
-		}
-	}
-	return nil
-}
-
-// counter adds up one counter of all nodes that still run.
-func (s *System) counter(name string) int {
-	total := 0
-	for _, n := range s.nodes {
-		total += readCounter(n.metrics, name)
-	}
-	return total
-}
-
-func readCounter(set *metrics.Set, name string) int {
-	var text bytes.Buffer
-	set.WritePrometheus(&text)
-	for line := range strings.Lines(text.String()) {
-		if value, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
-			number, err := strconv.Atoi(value)
-			if err == nil {
-				return number
-			}
-		}
-	}
-	return 0
+	sent        int // sub-requests of the nodes that ran at the end
+	extra       int // hedges and retries among them
 }
 
 func (s *System) printSummary(elapsed time.Duration) {
@@ -72,10 +21,8 @@
 	if s.load != nil {
 		s.printPhases()
 	}
-	sent := s.counter("yuccarock_sub_requests_total")
-	extra := s.counter("yuccarock_hedges_total") + s.counter("yuccarock_retries_total")
 	_, _ = fmt.Fprintf(out, "\nextra load on backend servers: %d of %d sub-requests (%.2f%%) were hedges or retries\n",
-		extra, sent, percent(extra, sent))
+		s.report.extra, s.report.sent, percent(s.report.extra, s.report.sent))
 	_, _ = fmt.Fprintf(out, "zone b: last request %.2f s after the submission (limit %s)\n",
 		s.report.zoneOutLast.Seconds(), zoneOutLimit)
 	var worst time.Duration
--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
-	"github.com/yuccarock/yuccarock/internal/standin/certifier"
+	"github.com/yuccarock/yuccarock/internal/standin/testbed"
 	"github.com/yuccarock/yuccarock/pkg/caller"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
@@ -57,12 +57,14 @@
 	if err := s.close(); failure == nil {
 		failure = err
 	}
-	if failure == nil {
-		failure = s.checkBackends()
+	if failure == nil && s.System != nil {
+		failure = s.CheckLimits()
 	}
-	s.printSummary(time.Since(begin))
-	if failure == nil {
-		failure = s.checker.first()
+	if s.System != nil {
+		s.printSummary(time.Since(begin))
+	}
+	if failure == nil && s.load != nil {
+		failure = s.load.violation()
 	}
 	return failure
 }
@@ -72,25 +74,9 @@
 func (startStep) String() string { return "start store, backend servers and daemons" }
 
 func (startStep) Run(ctx context.Context, s *System) error {
-	if err := s.openStore(); err != nil {
-		return err
-	}
-	authority, err := certifier.New("demo")
-	if err != nil {
-		return &Error{Op: "make keys", Kind: KindSetup, Err: err}
-	}
-	s.authority = authority
-	if err := s.startBackends(); err != nil {
-		return err
-	}
-	for _, zone := range zones {
-		for number := range nodesPerZone {
-			if err := s.startNode(ctx, fmt.Sprintf("%s%d", zone, number+1), zone); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
+	system, err := testbed.Start(ctx, s.settings)
+	s.System = system
+	return err
 }
 
 type submitStep struct{}
@@ -98,14 +84,7 @@
 func (submitStep) String() string { return "submit the configuration and wait until in force" }
 
 func (submitStep) Run(ctx context.Context, s *System) error {
-	revision, err := s.put(ctx, func(config *configurator.Config) error {
-		built, err := buildConfig(func(name broker.ServerName) netip.AddrPort { return s.backends[name].Address() })
-		if err != nil {
-			return err
-		}
-		*config = *built
-		return nil
-	})
+	revision, err := s.Submit(ctx)
 	if err != nil {
 		return err
 	}
@@ -114,7 +93,7 @@
 
 func (s *System) untilInForce(ctx context.Context, revision broker.Revision) error {
 	start := time.Now()
-	err := s.until(ctx, "configuration in force at every node", inForceLimit, s.inForce(revision))
+	err := s.Until(ctx, "configuration in force at every node", inForceLimit, s.InForce(revision))
 	s.report.inForce = append(s.report.inForce, time.Since(start))
 	return err
 }
@@ -124,44 +103,25 @@
 func (warmStep) String() string { return "warm up the servers within their cold limits" }
 
 func (warmStep) Run(ctx context.Context, s *System) error {
-	if err := s.until(ctx, "every shard covered", startLimit, s.covered); err != nil {
+	if err := s.Until(ctx, "every shard covered", startLimit, s.Covered); err != nil {
 		return err
 	}
-	var addresses []netip.AddrPort
-	for _, n := range s.nodes {
-		addresses = append(addresses, n.server.Entry())
-	}
-	client, err := caller.New(addresses, caller.Options{})
+	client, err := caller.New(s.Entries(), caller.Options{})
 	if err != nil {
 		return err
 	}
 	s.caller = client
-	s.load = newLoad(client, s.checker)
+	s.load = newLoad(client, s.System)
 	running, stop := context.WithCancel(ctx)
 	s.stopLoad = stop
-	s.loadDone.Go(func() { s.load.run(running) })
-	return s.until(ctx, "a warm replica of every shard", warmLimit, s.allShardsWarm)
-}
-
-func (s *System) covered() bool {
-	for _, n := range s.nodes {
-		coverage := n.server.Status().Coverage
-		if len(coverage) == 0 {
-			return false
-		}
-		for _, service := range coverage {
-			if service.ShardsAvailable < service.ShardsTotal {
-				return false
-			}
-		}
-	}
-	return true
+	s.loadDone.Go(func() { s.load.Run(running) })
+	return s.Until(ctx, "a warm replica of every shard", warmLimit, s.allShardsWarm)
 }
 
 func (s *System) allShardsWarm() bool {
 	warm := make(map[broker.ShardName]bool)
-	for _, spec := range s.specs {
-		warm[spec.shard] = warm[spec.shard] || !s.backends[spec.name].Cold()
+	for _, spec := range s.Specs {
+		warm[spec.Shard] = warm[spec.Shard] || !s.Backends[spec.Name].Cold()
 	}
 	for _, ok := range warm {
 		if !ok {
@@ -188,10 +148,10 @@
 // Run sends the same non-idempotent request through all entries; it must run once.
 func (claimStep) Run(ctx context.Context, s *System) error {
 	id := uuid.Must(uuid.NewV7()).String()
-	query := caller.Query{RequestID: id, Kind: intakeKind, Key: "one-site", Body: body(0), Timeout: 2 * time.Second}
-	results := make(chan caller.Status, len(s.nodes))
-	for _, n := range s.nodes {
-		client, err := caller.New([]netip.AddrPort{n.server.Entry()}, caller.Options{Attempts: 1})
+	query := caller.Query{RequestID: id, Kind: testbed.IntakeKind, Key: "one-site", Body: testbed.Body(0), Timeout: 2 * time.Second}
+	results := make(chan caller.Status, len(s.Nodes()))
+	for _, n := range s.Nodes() {
+		client, err := caller.New([]netip.AddrPort{n.Server.Entry()}, caller.Options{Attempts: 1})
 		if err != nil {
 			return err
 		}
@@ -204,14 +164,14 @@
 		}()
 	}
 	answered := 0
-	for range s.nodes {
+	for range s.Nodes() {
 		if status := <-results; status == caller.StatusComplete {
 			answered++
 		}
 	}
-	if executions := s.executions(id); executions != 1 {
-		return &Error{
-			Op: "run a report once", Kind: KindViolation,
+	if executions := s.Executions(id); executions != 1 {
+		return &testbed.Error{
+			Op: "run a report once", Kind: testbed.KindViolation,
 			Err: errors.Errorf("executions: got %d, want 1; complete answers: %d", executions, answered),
 		}
 	}
@@ -225,31 +185,28 @@
 func (zoneOutStep) Run(ctx context.Context, s *System) error {
 	s.load.phase("zone b out")
 	submitted := time.Now()
-	if err := s.setZone(ctx, "b", configurator.ZoneOut); err != nil {
+	if err := s.changeZone(ctx, "b", configurator.ZoneOut); err != nil {
 		return err
 	}
 	pause(ctx, zoneOutTime)
 	var last time.Duration
-	for _, spec := range s.specs {
-		if spec.zone == "b" {
-			last = max(last, s.backends[spec.name].Record().LastArrival.Sub(submitted))
+	for _, spec := range s.Specs {
+		if spec.Zone == "b" {
+			last = max(last, s.Backends[spec.Name].Record().LastArrival.Sub(submitted))
 		}
 	}
 	s.report.zoneOutLast = last
 	if last > zoneOutLimit {
-		return &Error{
-			Op: "keep new work out of zone b", Kind: KindViolation,
+		return &testbed.Error{
+			Op: "keep new work out of zone b", Kind: testbed.KindViolation,
 			Err: errors.Errorf("last arrival after %s, limit %s", last, zoneOutLimit),
 		}
 	}
 	return nil
 }
 
-func (s *System) setZone(ctx context.Context, zone string, state configurator.ZoneState) error {
-	revision, err := s.put(ctx, func(config *configurator.Config) error {
-		_, err := configurator.SetZone(config, zone, state)
-		return err
-	})
+func (s *System) changeZone(ctx context.Context, zone string, state configurator.ZoneState) error {
+	revision, err := s.SetZone(ctx, zone, state)
 	if err != nil {
 		return err
 	}
@@ -262,7 +219,7 @@
 
 func (zoneInStep) Run(ctx context.Context, s *System) error {
 	s.load.phase("zone b back")
-	if err := s.setZone(ctx, "b", configurator.ZoneIn); err != nil {
+	if err := s.changeZone(ctx, "b", configurator.ZoneIn); err != nil {
 		return err
 	}
 	pause(ctx, phaseTime)
@@ -275,14 +232,14 @@
 
 func (replicaStep) Run(ctx context.Context, s *System) error {
 	s.load.phase("replica lost")
-	backend := s.backends[s.specs[0].name]
+	backend := s.Backends[s.Specs[0].Name]
 	backend.Kill()
 	pause(ctx, phaseTime)
 	if err := backend.Restart(); err != nil {
 		return err
 	}
 	s.load.phase("replica back, cold")
-	return s.until(ctx, "the restarted server is warm", warmLimit, func() bool { return !backend.Cold() })
+	return s.Until(ctx, "the restarted server is warm", warmLimit, func() bool { return !backend.Cold() })
 }
 
 type snapshotStep struct{}
@@ -291,13 +248,13 @@
 
 func (snapshotStep) Run(ctx context.Context, s *System) error {
 	s.load.phase("new snapshot")
-	for _, spec := range s.specs {
-		s.backends[spec.name].SetSnapshots(firstSnapshot, secondSnapshot)
+	for _, spec := range s.Specs {
+		s.Backends[spec.Name].SetSnapshots(firstSnapshot, secondSnapshot)
 		pause(ctx, 10*time.Millisecond)
 	}
 	pause(ctx, phaseTime)
-	for _, spec := range s.specs {
-		s.backends[spec.name].SetSnapshots(secondSnapshot)
+	for _, spec := range s.Specs {
+		s.Backends[spec.Name].SetSnapshots(secondSnapshot)
 	}
 	pause(ctx, phaseTime/2)
 	return nil
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	handler     broker.PeerHandler
 	set         *metrics.Set
 	logger      *slog.Logger
+	packets     func(*net.UDPConn) net.PacketConn
 
 	current atomic.Pointer[linker.Linker]
 	self    atomic.Pointer[broker.Member]
@@ -39,8 +41,9 @@
 
 func newPeerSwitch(
 	credentials linker.Credentials, handler broker.PeerHandler, set *metrics.Set, logger *slog.Logger,
+	packets func(*net.UDPConn) net.PacketConn,
 ) *peerSwitch {
-	return &peerSwitch{credentials: credentials, handler: handler, set: set, logger: logger}
+	return &peerSwitch{credentials: credentials, handler: handler, set: set, logger: logger, packets: packets}
 }
 
 func (p *peerSwitch) member() broker.Member { return *p.self.Load() }
@@ -52,7 +55,7 @@
 	if p.closed {
 		return errNoLinker
 	}
-	next := linker.New(self, p.credentials, p.handler, Clock{}, p.set, p.logger, linker.Options{})
+	next := linker.New(self, p.credentials, p.handler, Clock{}, p.set, p.logger, linker.Options{Packets: p.packets})
 	if err := next.Listen(self.Peer); err != nil {
 		return err
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -59,6 +59,16 @@
 // Now returns the current time with a monotonic reading.
 func (Clock) Now() time.Time { return time.Now() }
 
+// Network replaces parts of the operating system's network, with which tests lose what is sent; a nil field uses the
+// operating system's.
+type Network struct {
+	Listener func(net.Listener) net.Listener   // for callers
+	Packets  func(*net.UDPConn) net.PacketConn // for peers
+	Dial     dialFunc                          // to backend servers
+}
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dependencies are what a daemon is built from.
 type Dependencies struct {
 	Settings    loader.Settings
@@ -67,6 +77,7 @@
 	Tracer      *tracer.Tracer
 	Metrics     *metrics.Set
 	Logger      *slog.Logger
+	Network     Network
 }
 
 // Server is one daemon with its two roles, entry and owner.
@@ -126,22 +137,26 @@
 	if err != nil {
 		return nil, &Error{Op: "open the entry address", Kind: KindListen, Err: err}
 	}
+	if deps.Network.Listener != nil {
+		socket = deps.Network.Listener(socket)
+	}
 	s.socket = socket
 	entry := socket.Addr().(*net.TCPAddr).AddrPort()
 	self := broker.Member{ID: newNodeID(s.name), Zone: deps.Settings.Zone, Entry: entry, Peer: deps.Settings.Peer}
-	s.peers = newPeerSwitch(deps.Credentials, s, deps.Metrics, s.logger)
+	s.peers = newPeerSwitch(deps.Credentials, s, deps.Metrics, s.logger, deps.Network.Packets)
 	if err := s.peers.open(self); err != nil {
 		_ = socket.Close()
 		return nil, &Error{Op: "open the peer address", Kind: KindListen, Err: err}
 	}
 	self = s.peers.member()
-	s.build(self)
+	s.build(self, deps.Network.Dial)
 	return s, nil
 }
 
 // build makes the parts that need the identity of this process.
-func (s *Server) build(self broker.Member) {
+func (s *Server) build(self broker.Member, dial dialFunc) {
 	options := dispatcher.DefaultOptions()
+	options.Dial = dial
 	s.dispatcher = dispatcher.New(options, s.set)
 	s.adopter = adopter.New(configurator.Parse, holder.New[indexer.Table](nil))
 	seed := uint64(time.Now().UnixNano())
--- a/internal/standin/backendserver/handler.go
+++ b/internal/standin/backendserver/handler.go
@@ -15,6 +15,7 @@
 // Header fields of a search.
 const (
 	headerDeadline    = "Yuccarock-Deadline"
+	headerTraceParent = "Traceparent"
 	headerContentType = "Content-Type"
 	contentTypeJSON   = "application/json"
 )
@@ -124,7 +125,7 @@
 		return
 	}
 	defer cancel()
-	life, refused := s.enter(req)
+	life, refused := s.enter(req, r.Header.Get(headerTraceParent))
 	if refused == nil {
 		defer s.leave(life)
 		stop := context.AfterFunc(life.ctx, cancel)
@@ -160,10 +161,13 @@
 }
 
 // enter counts the request as present, or says why it is refused.
-func (s *Server) enter(req *request) (*boot, *refusal) {
+func (s *Server) enter(req *request, traceParent string) (*boot, *refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.record.LastArrival = time.Now()
+	if traceParent != "" {
+		s.record.LastTraceParent = traceParent
+	}
 	life := s.boot
 	refuse := func(status int, reason broker.Reason) (*boot, *refusal) {
 		return life, &refusal{NotStarted: true, Reason: string(reason), BootID: life.id,
--- a/internal/standin/backendserver/record.go
+++ b/internal/standin/backendserver/record.go
@@ -25,6 +25,8 @@
 	Crashes int `json:"crashes"`
 	// LastArrival is when the last request arrived, whether it ran or not.
 	LastArrival time.Time `json:"lastArrival"`
+	// LastTraceParent is the traceparent header of the last request that had one.
+	LastTraceParent string `json:"lastTraceParent,omitempty"`
 }
 
 // Record returns a copy of what the server has seen.
--- a/internal/demonstrator/error.go
+++ b/internal/standin/testbed/error.go
@@ -1,4 +1,4 @@
-package demonstrator
+package testbed
 
 import "fmt"
 
