--- a/internal/demonstrator/system.go
+++ b/internal/demonstrator/system.go
@@ -52,5 +52,5 @@
 	}
 	s.report.sent = s.Counter("yuccarock_sub_requests_total")
 	s.report.extra = s.Counter("yuccarock_hedges_total") + s.Counter("yuccarock_retries_total")
-	return s.System.Close()
+	return s.Close()
 }
