Let a node start from seed peers while the store is down

Cause: a node that starts during an outage of the store knew no peer to take configuration and members from, because links need the incarnation of the peer. Change: settings name seed peers; a link may be dialed to a node of any incarnation, whose certificate still has to name it.

--- a/internal/broker/transport/linker/dialer.go
+++ b/internal/broker/transport/linker/dialer.go
@@ -36,7 +36,7 @@
 	}
 	var lastFailure ErrorKind
 	for delay := patience; pause(ctx, delay); {
-		if k := (*l.links.Load())[member.ID]; k != nil {
+		if k := l.linkTo(member.ID); k != nil {
 			select {
 			case <-k.down:
 			case <-ctx.Done():
@@ -64,6 +64,28 @@
 	}
 }
 
+// AnyIncarnation returns the ID under which SetPeers takes a node whose present incarnation is not known.
+func AnyIncarnation(name string) broker.NodeID { return broker.NodeID(name + "/") }
+
+// accepts returns whether a link that was dialed to one ID may be used for the node that answered.
+func accepts(dialed, answered broker.NodeID) bool {
+	return dialed == answered || dialed == AnyIncarnation(nodeName(answered))
+}
+
+// linkTo returns the link to a node, or nil.
+func (l *Linker) linkTo(id broker.NodeID) *link {
+	links := *l.links.Load()
+	if k := links[id]; k != nil {
+		return k
+	}
+	for other, k := range links {
+		if accepts(id, other) {
+			return k
+		}
+	}
+	return nil
+}
+
 // pause waits and returns whether ctx goes on.
 func pause(ctx context.Context, delay time.Duration) bool {
 	timer := time.NewTimer(delay)
@@ -96,9 +118,13 @@
 	if err != nil {
 		return l.refuse(k, err)
 	}
-	if hello.Node != member.ID {
+	if !accepts(member.ID, hello.Node) {
 		return l.refuse(k, failure(op, KindWrongNode, "the peer is node "+string(hello.Node)))
 	}
+	if hello.Node != member.ID {
+		l.releasePeer(k.peer)
+		k.peer = l.acquire(hello.Node)
+	}
 	if err := l.raise(k); err != nil {
 		return l.refuse(k, err)
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -87,6 +87,11 @@
 			fault(address.path, "must be an IP address and port that others can reach, got %q", address.value)
 		}
 	}
+	for name, address := range s.Seeds {
+		if !namePattern.MatchString(name) || !address.IsValid() || address.Addr().IsUnspecified() {
+			fault("seeds."+name, "must be a node name with an IP address and port, got %q", address)
+		}
+	}
 	if base, err := url.Parse(s.Store); err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
 		fault("store", "must be an http or https URL, got %q", s.Store)
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -40,17 +40,19 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Node         string                `json:"node"`
-	Zone         string                `json:"zone"`
-	Cell         string                `json:"cell"`
-	Entry        netip.AddrPort        `json:"entry"` // TCP address for callers and operators
-	Peer         netip.AddrPort        `json:"peer"`  // UDP address of the peer link
-	Store        string                `json:"store"` // base URL of the platform's store
-	TLS          TLS                   `json:"tls"`
-	StopDeadline configurator.Duration `json:"stopDeadline"`
-	LogLevel     string                `json:"logLevel"`
-	Trace        Trace                 `json:"trace"`
-	Limits       Limits                `json:"limits"`
+	Node  string         `json:"node"`
+	Zone  string         `json:"zone"`
+	Cell  string         `json:"cell"`
+	Entry netip.AddrPort `json:"entry"` // TCP address for callers and operators
+	Peer  netip.AddrPort `json:"peer"`  // UDP address of the peer link
+	// Seeds are peer addresses by node name, asked for configuration and members when the store is down at the start.
+	Seeds        map[string]netip.AddrPort `json:"seeds,omitempty"`
+	Store        string                    `json:"store"` // base URL of the platform's store
+	TLS          TLS                       `json:"tls"`
+	StopDeadline configurator.Duration     `json:"stopDeadline"`
+	LogLevel     string                    `json:"logLevel"`
+	Trace        Trace                     `json:"trace"`
+	Limits       Limits                    `json:"limits"`
 }
 
 // Defaults returns the settings that apply where the file gives none.
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/joiner"
 	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 )
 
 // announcements remembers when each server was last announced and what previous owners have released.
@@ -163,13 +166,14 @@
 	defer announce.Stop()
 	var generation broker.Generation
 	var self broker.NodeID
+	s.peers.setPeers(s.withSeeds(nil))
 	for {
 		select {
 		case <-members.C:
 			next, id := s.joiner.Generation(), s.ID()
 			if next != generation || id != self {
 				generation, self = next, id
-				s.peers.setPeers(s.joiner.Members())
+				s.peers.setPeers(s.withSeeds(s.joiner.Members()))
 			}
 		case <-announce.C:
 			for _, state := range s.ownedStates() {
@@ -190,3 +194,18 @@
 	}
 	return states
 }
+
+// withSeeds adds the nodes of the settings whose incarnation is not known.
+func (s *Server) withSeeds(members []broker.Member) []broker.Member {
+	known := make(map[netip.AddrPort]bool, len(members))
+	for i := range members {
+		known[members[i].Peer] = true
+	}
+	all := slices.Clone(members)
+	for name, address := range s.settings.Seeds {
+		if name != s.name && !known[address] {
+			all = append(all, broker.Member{ID: linker.AnyIncarnation(name), Peer: address})
+		}
+	}
+	return all
+}
