Hold the slot of a cancelled request until the server has seen the close

Cause: in a demo on a busy machine a server with two slots had three requests at once. The owner freed the slot as soon as it cancelled, while the server still ran the request.

--- a/internal/broker/transport/dispatcher/dispatcher_test.go
+++ b/internal/broker/transport/dispatcher/dispatcher_test.go
@@ -308,6 +308,32 @@
 	}
 }
 
+// TestCancelHoldsSlot guards against a cancelled request that counts as ended while the server still runs it, so that the
+// owner gives its slot to another: the stand-ins saw three requests at once at a server with two slots.
+func TestCancelHoldsSlot(t *testing.T) {
+	server := newStandIn(t)
+	server.holding.Store(true)
+	d := newDispatcher(server.listener.Addr(), 4)
+	ctx, cancel := context.WithCancel(t.Context())
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		d.Send(ctx, broker.BackendRequest{Sub: broker.SubRequest{RequestID: "r", Server: "a1"}})
+	}()
+	<-server.held
+	cancelled := time.Now()
+	cancel()
+	select {
+	case <-returned:
+		if got, want := time.Since(cancelled), closeLinger; got < want {
+			t.Errorf("Send returned while the server ran the request: got after %v, want the close or %v", got, want)
+		}
+	case <-time.After(closeLinger / 5):
+	}
+	close(server.release)
+	<-returned
+}
+
 // BenchmarkSend measures one request over loopback on a reused connection.
 func BenchmarkSend(b *testing.B) {
 	s := newStandIn(b)
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -39,7 +39,11 @@
 	e.sent = e.sent || c.written > 0
 	uninterrupted := stop()
 	if err != nil || !keep || !uninterrupted || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
-		p.discard(c)
+		done := p.discard(c)
+		if e.sent && !uninterrupted {
+			// The server may run the request until it sees the close; its slot is not free before.
+			<-done
+		}
 	} else {
 		p.release(c)
 	}
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -156,12 +156,15 @@
 }
 
 // discard closes a connection in the background; it counts until it is closed.
-func (p *pool) discard(c *conn) {
+func (p *pool) discard(c *conn) <-chan struct{} {
 	p.counters.closed.Inc()
+	done := make(chan struct{})
 	go func() {
 		c.shut(closeLinger)
 		p.closed()
+		close(done)
 	}()
+	return done
 }
 
 // closed frees the place of a connection.
