Read the peer identity again before each handshake

Keys are replaced on disk by the platform, possibly while a handshake reads them. Files reads the three PEM files for each handshake and goes on with the last readable identity.

--- a/internal/broker/transport/linker/credentials.go
+++ b/internal/broker/transport/linker/credentials.go
@@ -76,6 +76,37 @@
 	k.current.Update(func(*Identity) *Identity { return identity })
 }
 
+// Files reads an identity from three PEM files before each handshake, so that replaced files take effect without
+// a restart.
+type Files struct {
+	certificate string
+	key         string
+	authorities string
+	last        *Keyring
+}
+
+// NewFiles returns the credentials in three files, which must be readable now.
+func NewFiles(certificateFile, keyFile, authoritiesFile string) (*Files, error) {
+	identity, err := ReadIdentity(certificateFile, keyFile, authoritiesFile)
+	if err != nil {
+		return nil, err
+	}
+	return &Files{
+		certificate: certificateFile, key: keyFile, authorities: authoritiesFile, last: NewKeyring(identity),
+	}, nil
+}
+
+// Identity returns the identity in the files, or the last one that was readable, since the files may be read
+// while they are being replaced.
+func (f *Files) Identity() (*Identity, error) {
+	identity, err := ReadIdentity(f.certificate, f.key, f.authorities)
+	if err != nil {
+		return f.last.Identity()
+	}
+	f.last.Replace(identity)
+	return identity, nil
+}
+
 // nodeName returns the part of a node ID that certificates name.
 func nodeName(id broker.NodeID) string {
 	name, _, _ := strings.Cut(string(id), "/")
