--- a/internal/broker/transport/linker/node_test.go
+++ b/internal/broker/transport/linker/node_test.go
@@ -217,8 +217,12 @@
 
 func (f *forwarder) relay(source *net.UDPConn, pass func([]byte, netip.AddrPort)) {
 	buffer := make([]byte, 64<<10)
-	for size, from, err := 0, loopback, error(nil); err == nil; {
-		if size, from, err = source.ReadFromUDPAddrPort(buffer); err == nil && !f.silent.Load() {
+	for {
+		size, from, err := source.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if !f.silent.Load() {
 			pass(buffer[:size], from)
 		}
 	}
--- a/internal/broker/transport/storer/storer_test.go
+++ b/internal/broker/transport/storer/storer_test.go
@@ -269,8 +269,8 @@
 		if got, err := f.Hosts(t.Context()); err != nil || !reflect.DeepEqual(got, hosts) {
 			t.Errorf("got %v, %v, want %v", got, err, hosts)
 		}
-		f.server.Put("other", nil)
-		want := broker.Object{Key: key, Version: f.server.Put(key, []byte("value")), Value: []byte("value")}
+		want := broker.Object{Key: key, Version: f.server.Put("other", nil) + 1, Value: []byte("value")}
+		f.server.Put(key, want.Value)
 		if got, err := f.Get(t.Context(), key); err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("got %+v, %v, want %+v", got, err, want)
 		}
