--- a/internal/broker/transport/linker/dialer.go
+++ b/internal/broker/transport/linker/dialer.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/quic-go/quic-go"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -24,12 +23,7 @@
 func (l *Linker) keep(ctx context.Context, member broker.Member) {
 	p := l.acquire(member.ID)
 	defer l.releasePeer(p)
-	policy := &backoff.ExponentialBackOff{
-		InitialInterval:     l.options.MinBackoff,
-		MaxInterval:         l.options.MaxBackoff,
-		Multiplier:          backoff.DefaultMultiplier,
-		RandomizationFactor: backoff.DefaultRandomizationFactor,
-	}
+	policy := l.options.backoff()
 	patience := time.Duration(0)
 	if l.self.ID > member.ID {
 		patience = l.options.FallbackDelay
--- a/internal/broker/transport/linker/linker_test.go
+++ b/internal/broker/transport/linker/linker_test.go
@@ -324,6 +324,23 @@
 	}
 }
 
+// Guards against redials in a tight loop or in step with those of other nodes, and against long outages of a link.
+func TestBackoffStaysWithinBounds(t *testing.T) {
+	options, seen := Options{}.withDefaults(), map[time.Duration]bool{}
+	for range 100 {
+		policy := options.backoff()
+		for range 10 {
+			delay := policy.NextBackOff()
+			if seen[delay] = true; delay < options.MinBackoff || delay > options.MaxBackoff {
+				t.Errorf("got %v, want %v to %v", delay, options.MinBackoff, options.MaxBackoff)
+			}
+		}
+	}
+	if len(seen) < 500 {
+		t.Errorf("got %d different delays, want at least 500", len(seen))
+	}
+}
+
 // Guards against a sender that blocks, a refused message that arrives all the same, and drops without a counter.
 func TestFullQueueRefuses(t *testing.T) {
 	const queue = 64
--- a/internal/broker/transport/linker/options.go
+++ b/internal/broker/transport/linker/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/quic-go/quic-go"
 )
 
@@ -63,6 +64,16 @@
 	return value
 }
 
+// backoff returns delays that vary by half of their mean and stay between MinBackoff and MaxBackoff.
+func (o Options) backoff() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{
+		InitialInterval:     2 * o.MinBackoff,
+		MaxInterval:         o.MaxBackoff * 2 / 3,
+		Multiplier:          2,
+		RandomizationFactor: 0.5,
+	}
+}
+
 func (o Options) quic() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           o.IdleTimeout,
