--- a/internal/broker/transport/linker/options.go
+++ b/internal/broker/transport/linker/options.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/quic-go/quic-go"
 )
 
@@ -66,6 +67,16 @@
 	return value
 }
 
+// backoff returns delays that vary by half of their mean and stay between MinBackoff and MaxBackoff.
+func (o Options) backoff() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{
+		InitialInterval:     2 * o.MinBackoff,
+		MaxInterval:         o.MaxBackoff * 2 / 3,
+		Multiplier:          2,
+		RandomizationFactor: 0.5,
+	}
+}
+
 func (o Options) quic() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           o.IdleTimeout,
