Hold a scatter of a suspect request until one server clears it

Cause: a caller sends a request again that has crashed a server; with canary never it would reach every shard at once. Actions own their slices, so that they can be carried out after the next event. A test of the replica choice.

--- a/internal/broker/coordination/scatterer/action.go
+++ b/internal/broker/coordination/scatterer/action.go
@@ -18,7 +18,7 @@
 	Cancel *broker.Cancel
 }
 
-// Actions is what the caller carries out after an event; the slices are valid until the next event.
+// Actions is what the caller carries out after an event: first all sends, then all cancels.
 type Actions struct {
 	Sends   []Send
 	Cancels []Cancel
--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -6,7 +6,8 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
-// Answer takes the answer to an attempt; one that does not match the attempt is counted and never merged.
+// Answer takes the answer to an attempt; one that does not match the attempt is counted and never merged. After a
+// refusal as notOwner the tracker has to know of it already, so that a retry goes to another owner.
 func (s *Session) Answer(now time.Time, answer *broker.SubAnswer) Actions {
 	if !s.enter(now) {
 		s.stats.Drops[DropLate]++
@@ -83,7 +84,7 @@
 	s.answered++
 	s.open--
 	s.passed = true
-	if s.clearing == i && s.stats.Crashes == 1 {
+	if s.clearing == i && s.crashes == 1 {
 		s.suspect, s.clearing = false, -1
 		s.release()
 	} else if s.canary == i {
@@ -138,6 +139,7 @@
 		sh.refused = sh.refused || reason == broker.ReasonSnapshotMissing
 	case crashed:
 		s.stats.Crashes++
+		s.crashes++
 		s.suspect = true
 	}
 	switch {
@@ -145,14 +147,14 @@
 		s.stop(reason)
 	case sh.live > 0:
 		// The attempt in flight decides; after a crash it runs on the one more server that a suspect is allowed.
-		if crashed && s.stats.Crashes == 1 {
+		if crashed && s.crashes == 1 {
 			s.clearing = i
 		}
 	case !s.retry(i, outcome, reason):
 		s.miss(i, reason)
 		s.settle(i, outcome)
 	}
-	if s.stats.Crashes > 1 {
+	if s.crashes > 1 {
 		s.drain(broker.ReasonCrashed)
 	}
 }
@@ -180,7 +182,7 @@
 // retry sends another attempt at a shard if the outcome, the replicas and the budget allow it.
 func (s *Session) retry(i int, outcome broker.Outcome, reason broker.Reason) bool {
 	sh := &s.shards[i]
-	if sh.used == maxAttempts || !s.retryable(outcome, reason) {
+	if sh.used == maxAttempts || !s.retryable(i, outcome, reason) {
 		return false
 	}
 	chosen, none := s.choose(sh)
@@ -199,9 +201,18 @@
 	return true
 }
 
-// retryable returns whether the outcome of an attempt permits another one.
-func (s *Session) retryable(outcome broker.Outcome, reason broker.Reason) bool {
-	if s.suspect && (s.stats.Crashes > 1 || s.clearing >= 0 || reason != broker.ReasonCrashed) {
+// mayClear returns whether a suspect may have another attempt after the last one at shard i: the one that it is
+// allowed has not been sent or did not run.
+func (s *Session) mayClear(i int, outcome broker.Outcome, reason broker.Reason) bool {
+	if s.crashes > 1 {
+		return false
+	}
+	return s.clearing < 0 && reason == broker.ReasonCrashed || s.clearing == i && outcome == broker.OutcomeNotRun
+}
+
+// retryable returns whether the outcome of an attempt at shard i permits another one.
+func (s *Session) retryable(i int, outcome broker.Outcome, reason broker.Reason) bool {
+	if s.suspect && !s.mayClear(i, outcome, reason) {
 		return false
 	}
 	switch outcome {
--- /dev/null
+++ b/internal/broker/coordination/scatterer/choice_test.go
@@ -0,0 +1,49 @@
+package scatterer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+// TestReplicaChoice guards a cold server against more than its share and its limit, and busy servers against more
+// work than idle ones.
+func TestReplicaChoice(t *testing.T) {
+	const queries = 4000
+	tests := []struct {
+		name     string
+		phases   []broker.Phase // of the replicas a, b, c
+		busy     []int64        // attempts outstanding
+		wantMost []int          // of 4,000 queries
+	}{
+		{"cold within its limit", []broker.Phase{"warm", "warm", "cold"}, []int64{0, 0, 1}, []int{2100, 2100, 250}},
+		{"cold at its limit", []broker.Phase{"warm", "warm", "ramping"}, []int64{0, 0, 2}, []int{2200, 2200, 0}},
+		{"least outstanding of two", []broker.Phase{"warm", "warm", "warm"}, []int64{3, 1, 2}, []int{0, 2800, 1500}},
+		{"only cold", []broker.Phase{"draining", "down", "cold"}, []int64{0, 0, 1}, []int{0, 0, 4000}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(1, 3, configurator.RequestKind{Idempotent: true}, configurator.RoutingScatter)
+			replicas := f.tracker.View().Service("index").Tracked[0].Replicas
+			for i, phase := range test.phases {
+				f.announce(replicas[i].Name, func(state *broker.ServerState) { state.Phase = phase })
+				for range test.busy[i] {
+					replicas[i].Begin()
+				}
+			}
+			got := map[broker.ServerName]int{}
+			for i := range queries {
+				s := f.session(uint64(i), Request{Deadline: epoch.Add(time.Second)}, epoch)
+				got[s.Start(epoch).Sends[0].Sub.Server]++
+				s.Abandon(epoch)
+			}
+			for i, most := range test.wantMost {
+				if count := got[replicas[i].Name]; count > most {
+					t.Errorf("got %d queries at %s, want at most %d", count, replicas[i].Name, most)
+				}
+			}
+		})
+	}
+}
--- a/internal/broker/coordination/scatterer/golden_test.go
+++ b/internal/broker/coordination/scatterer/golden_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -79,18 +78,13 @@
 }
 
 func (s *script) run(fields []string) {
-	options := map[string]string{}
-	for _, field := range fields {
-		if name, value, ok := strings.Cut(field, "="); ok {
-			options[name] = value
-		}
-	}
+	last := []byte(fields[len(fields)-1])
 	switch fields[0] {
 	case "setup":
-		s.setup(options)
+		s.setup(last)
 		return
 	case "announce":
-		s.fixture.announce(broker.ServerName(fields[1]), func(state *broker.ServerState) { s.change(state, options) })
+		s.fixture.announce(broker.ServerName(fields[1]), func(state *broker.ServerState) { s.decode(last, state) })
 		return
 	case "empty":
 		for s.fixture.budgets.Kind("search").Hedges.Spend() || s.fixture.budgets.Kind("search").Retries.Spend() {
@@ -115,80 +109,51 @@
 		}
 		s.print(s.session.LinkDown(now, broker.NodeID(fields[2])))
 	case "answer":
-		s.answer(now, fields[2], options)
+		s.answer(now, fields[2:])
+	}
+}
+
+func (s *script) decode(text []byte, into any) {
+	if err := json.Unmarshal(text, into); err != nil {
+		s.t.Fatalf("could not read %s: %v", text, err)
 	}
 }
 
-func (s *script) setup(options map[string]string) {
-	number := func(name string) float64 {
-		value, _ := strconv.ParseFloat(options[name], 64)
-		return value
-	}
-	kind := configurator.RequestKind{
-		Idempotent:    options["idempotent"] != "false",
-		MinCoverage:   number("min"),
-		HedgeQuantile: number("hedge"),
-		HedgeBudget:   0.1,
-		RetryBudget:   0.1,
-		Canary:        configurator.Canary(options["canary"]),
-	}
-	s.fixture = newFixture(int(number("shards")), int(number("replicas")), kind,
-		configurator.Routing(options["routing"]))
+func (s *script) setup(text []byte) {
+	var options struct {
+		Shards, Replicas int
+		Suspect          bool
+		Routing          configurator.Routing
+		Kind             configurator.RequestKind
+	}
+	options.Kind.HedgeBudget, options.Kind.RetryBudget = 0.1, 0.1
+	s.decode(text, &options)
+	s.fixture = newFixture(options.Shards, options.Replicas, options.Kind, options.Routing)
 	for _, shard := range s.fixture.tracker.View().Service("index").Tracked {
 		for range 32 {
 			shard.Latency.Record(epoch, 10*time.Millisecond)
 		}
 	}
-	request := Request{Query: broker.Query{RequestID: "r1", Limit: 3}, Deadline: epoch.Add(200 * time.Millisecond)}
+	request := Request{Query: broker.Query{RequestID: "r1", Limit: 3}, Suspect: options.Suspect}
+	request.Deadline = epoch.Add(200 * time.Millisecond)
 	s.session = s.fixture.session(1, request, epoch)
 }
 
-func (s *script) change(state *broker.ServerState, options map[string]string) {
-	for name, value := range options {
-		switch number, _ := strconv.Atoi(value); name {
-		case "phase":
-			state.Phase = broker.Phase(value)
-		case "limit":
-			state.Limit = number
-		case "partitioning":
-			state.Partitioning = uint64(number)
-		case "snapshots":
-			state.Snapshots = nil
-			for _, snapshot := range strings.Split(value, ",") {
-				number, _ := strconv.Atoi(snapshot)
-				state.Snapshots = append(state.Snapshots, broker.Snapshot(number))
-			}
-		}
-	}
-}
-
-// answer replies to the attempt "shard/number", with the fields that options change.
-func (s *script) answer(now time.Time, attempt string, options map[string]string) {
-	sub := s.sent[attempt]
+// answer replies to an attempt; fields name it and may give an outcome with its reason, or fields that differ.
+func (s *script) answer(now time.Time, fields []string) {
+	sub := s.sent[fields[0]]
 	if sub == nil {
-		s.t.Fatalf("attempt %s was not sent", attempt)
+		s.t.Fatalf("attempt %s was not sent", fields[0])
 	}
 	answer := reply(sub, broker.Hit{ID: string(sub.Shard), Score: 1}, broker.Hit{ID: string(sub.Server), Score: 0.5})
-	outcomes := []string{"", "answered", "notRun", "outcomeUnknown", "failed"}
-	for name, value := range options {
-		switch number, _ := strconv.Atoi(value); name {
-		case "outcome":
-			answer.Outcome = broker.Outcome(slices.Index(outcomes, value))
-		case "reason":
-			answer.Reason = broker.Reason(value)
-		case "snapshot":
-			answer.Snapshot = broker.Snapshot(number)
-		case "partitioning":
-			answer.Partitioning = uint64(number)
-		case "attempt":
-			answer.Attempt = uint32(number)
-		case "server":
-			answer.Server = broker.ServerName(value)
-		case "shard":
-			answer.Shard = broker.ShardName(value)
-		case "request":
-			answer.RequestID = value
+	switch len(fields) {
+	case 2:
+		s.decode([]byte(fields[1]), &answer)
+	case 3:
+		for answer.Outcome.String() != fields[1] {
+			answer.Outcome++
 		}
+		answer.Reason = broker.Reason(fields[2])
 	}
 	s.print(s.session.Answer(now, &answer))
 }
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -42,6 +42,9 @@
 		}
 		sh.state = shardOpen
 		s.canary = i
+		if s.suspect {
+			s.clearing = i
+		}
 		s.stats.Canaries++
 		s.send(i, chosen, false)
 		s.earn(1)
@@ -52,7 +55,9 @@
 		s.push(s.deadline/recheckShare, 0, timerLaunch)
 		return
 	}
-	s.release()
+	for i := range s.shards {
+		s.begin(i) // finds no replica again and names the reason
+	}
 }
 
 // push adds a timer that is due after a delay.
@@ -69,6 +74,9 @@
 }
 
 func (s *Session) needsCanary() bool {
+	if s.suspect {
+		return true
+	}
 	if s.passed || len(s.shards) < 2 {
 		return false
 	}
--- a/internal/broker/coordination/scatterer/policy_test.go
+++ b/internal/broker/coordination/scatterer/policy_test.go
@@ -1,7 +1,7 @@
 package scatterer
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -45,24 +45,8 @@
 
 // event is one step of the model.
 type event struct {
-	at   time.Duration
-	step int // order of scheduling, so that events at the same time have one order
-	run  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].step < h[j].step
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	at  time.Duration
+	run func()
 }
 
 // job is one attempt at a model server.
@@ -89,8 +73,7 @@
 
 // model is a set of server queues behind real sessions.
 type model struct {
-	events     eventHeap
-	steps      int
+	events     []event // the next one last
 	now        time.Duration
 	entries    []*fixture
 	servers    map[broker.ServerName]*modelServer
@@ -110,9 +93,11 @@
 	busy           time.Duration
 }
 
+// after schedules run behind the events that are due at the same time.
 func (m *model) after(delay time.Duration, run func()) {
-	m.steps++
-	heap.Push(&m.events, event{at: m.now + delay, step: m.steps, run: run})
+	at := m.now + delay
+	i, _ := slices.BinarySearchFunc(m.events, at, func(e event, at time.Duration) int { return cmp.Compare(at, e.at) })
+	m.events = slices.Insert(m.events, i, event{at: at, run: run})
 }
 
 // runModel puts the same seeded arrivals through a policy; entries do not see each other's attempts.
@@ -128,16 +113,13 @@
 	mean := 0.99*float64(modelMedian)*math.Exp(modelSigma*modelSigma/2) + 0.01*modelSlowdown*float64(modelMedian)
 	gap := mean / (load * 2 * modelSlots)
 	arrivals := rand.New(rand.NewPCG(1, 1))
-	at := time.Duration(0)
 	for i := range queries {
-		at += time.Duration(arrivals.ExpFloat64() * gap)
-		m.after(at, func() { m.arrive(i) })
-	}
-	for len(m.events) > 0 {
-		next := heap.Pop(&m.events).(event)
-		m.now = next.at
-		next.run()
+		next := m.now + time.Duration(arrivals.ExpFloat64()*gap)
+		m.runUntil(next)
+		m.now = next
+		m.arrive(i)
 	}
+	m.runUntil(math.MaxInt64)
 	slices.Sort(m.latencies)
 	quantile := func(q float64) time.Duration { return m.latencies[int(q*float64(len(m.latencies)))] }
 	base := float64(queries * modelShards)
@@ -149,6 +131,15 @@
 	}
 }
 
+func (m *model) runUntil(end time.Duration) {
+	for len(m.events) > 0 && m.events[len(m.events)-1].at <= end {
+		next := m.events[len(m.events)-1]
+		m.events = m.events[:len(m.events)-1]
+		m.now = next.at
+		next.run()
+	}
+}
+
 func (m *model) arrive(number int) {
 	q := &modelQuery{number: number, arrived: m.now, jobs: map[broker.Cancel]*job{}}
 	request := Request{Query: broker.Query{RequestID: strconv.Itoa(number)}, Deadline: epoch.Add(m.now + modelDeadline)}
--- a/internal/broker/coordination/scatterer/property_test.go
+++ b/internal/broker/coordination/scatterer/property_test.go
@@ -52,6 +52,10 @@
 		request := Request{
 			Query:    broker.Query{RequestID: "r1"},
 			Deadline: epoch.Add(200 * time.Millisecond),
+			Suspect:  rapid.IntRange(0, 4).Draw(t, "suspect") == 0,
+		}
+		if request.Suspect {
+			o.crashes = 1
 		}
 		o.session = o.fixture.session(rapid.Uint64().Draw(t, "seed"), request, epoch)
 		budgets := o.fixture.budgets.Kind("search")
@@ -89,7 +93,9 @@
 		if o.wakeAt.Sub(o.now) > 100*time.Millisecond {
 			return
 		}
-		o.now = maxTime(o.now, o.wakeAt)
+		if o.wakeAt.After(o.now) {
+			o.now = o.wakeAt
+		}
 		o.take(o.session.Wake(o.now))
 	case 4:
 		if rapid.IntRange(0, 9).Draw(o.T, "abandon") == 0 {
@@ -195,10 +201,3 @@
 		o.Fatalf("got %d attempts and %d reruns for %d shards", len(o.sent), stats.Reruns, coverage.ShardsTotal)
 	}
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -36,6 +36,7 @@
 	Query       broker.Query
 	Fingerprint broker.Fingerprint
 	Seen        bool // the fingerprint has been answered before
+	Suspect     bool // a server died while running the fingerprint, and it has not been cleared
 	TraceParent string
 	Deadline    time.Time
 }
@@ -66,7 +67,8 @@
 	canary   int  // position of the canary shard that the others wait for, or -1
 	passed   bool // a shard has answered, so that no canary is needed
 	suspect  bool // a server died while running the request
-	clearing int  // position of the shard with the one attempt that a suspect is allowed, or -1
+	crashes  int
+	clearing int // position of the shard with the one attempt that a suspect is allowed, or -1
 	merged   merger
 
 	subs     []broker.SubRequest
@@ -101,6 +103,9 @@
 		clearing: -1,
 		merged:   merger{limit: request.Query.Limit},
 	}
+	if request.Suspect {
+		s.suspect, s.crashes = true, 1
+	}
 	s.plan()
 	return s, nil
 }
@@ -199,7 +204,7 @@
 
 // enter takes the time of an event and returns whether the session is still running.
 func (s *Session) enter(now time.Time) bool {
-	s.actions = Actions{Sends: s.actions.Sends[:0], Cancels: s.actions.Cancels[:0]}
+	s.actions = Actions{}
 	if s.finished {
 		return false
 	}
