Name the reason of each shard that the canary cannot reach

Cause: the look for a canary was repeated to find the reasons, and a server that became usable in between would have got a request without a canary.

--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -38,6 +38,7 @@
 		chosen, reason := s.choose(sh)
 		if reason != broker.ReasonNone {
 			cold = cold || reason == broker.ReasonCold
+			sh.reason = reason
 			continue
 		}
 		sh.state = shardOpen
@@ -56,7 +57,7 @@
 		return
 	}
 	for i := range s.shards {
-		s.begin(i) // finds no replica again and names the reason
+		s.miss(i, s.shards[i].reason)
 	}
 }
 
