--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -38,10 +38,14 @@
 		chosen, reason := s.choose(sh)
 		if reason != broker.ReasonNone {
 			cold = cold || reason == broker.ReasonCold
+			sh.reason = reason
 			continue
 		}
 		sh.state = shardOpen
 		s.canary = i
+		if s.suspect {
+			s.clearing = i
+		}
 		s.stats.Canaries++
 		s.send(i, chosen, false)
 		s.earn(1)
@@ -52,7 +56,9 @@
 		s.push(s.deadline/recheckShare, 0, timerLaunch)
 		return
 	}
-	s.release()
+	for i := range s.shards {
+		s.miss(i, s.shards[i].reason)
+	}
 }
 
 // push adds a timer that is due after a delay.
@@ -69,6 +75,9 @@
 }
 
 func (s *Session) needsCanary() bool {
+	if s.suspect {
+		return true
+	}
 	if s.passed || len(s.shards) < 2 {
 		return false
 	}
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 	"github.com/yuccarock/yuccarock/internal/tracer"
@@ -55,6 +56,7 @@
 		},
 		scatterer.Request{
 			Query: query, Fingerprint: fingerprint, Seen: s.seen.Has(fingerprint),
+			Suspect:     s.quarantine.Standing(fingerprint, time.Now()) != quarantiner.Clear,
 			TraceParent: tracer.Parent(ctx), Deadline: deadline,
 		},
 		time.Now(),
