Divide servers among the cells of a region and fix owners after an assignment

Cause: a node of a region with several cells ranked all servers for its own cell; and an assignment that removed a held key and added another one left the added key without an owner, because publishing cleared the mark of stale owners. Change: ranker.Cell and the settings Region and Cells; stale owners and an outdated view are marked apart; tenures are looked at only while one waits to start. Conclusion: TestAssignReplacesKeys failed before the change and passes now.

--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -81,7 +81,11 @@
 
 // Settings are the times and names of a joiner.
 type Settings struct {
-	Cell   string
+	Cell string
+	// Region restricts the cell to servers of that region; empty means all.
+	Region string
+	// Cells names all cells of the region, this one included; each server and claim point belongs to one.
+	Cells  []string
 	Leaser leaser.Settings
 	// StoreTimeout bounds each call to the store but Watch.
 	StoreTimeout time.Duration
@@ -107,6 +111,7 @@
 func DefaultSettings(cell string) Settings {
 	return Settings{
 		Cell:         cell,
+		Cells:        []string{cell},
 		Leaser:       leaser.DefaultSettings(),
 		StoreTimeout: time.Second,
 		WatchTimeout: 30 * time.Second,
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -5,6 +5,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/leaser"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/ranker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
@@ -76,7 +77,7 @@
 	table := j.adopter.Table()
 	core := j.core.Load()
 	core.SetRevision(j.adopter.Revision())
-	j.step(j.clock.Now(), leaser.Assign{Resources: resources(table)})
+	j.step(j.clock.Now(), leaser.Assign{Resources: j.resources(table)})
 	j.handler.TableChanged(table)
 	j.followZone(table)
 }
@@ -101,14 +102,19 @@
 	}
 }
 
-// resources returns the servers of a table and the claim points of its services with non-idempotent kinds.
-func resources(table *indexer.Table) []leaser.Resource {
+// resources returns the servers and claim points of a table that belong to this cell. Only services with a
+// non-idempotent kind have claim points.
+func (j *Joiner) resources(table *indexer.Table) []leaser.Resource {
 	config := table.Config
+	foreign := j.foreignZones(config.Zones)
 	list := make([]leaser.Resource, 0, len(config.Servers))
 	for i := range config.Servers {
-		list = append(list, leaser.Resource{
-			Key: leaser.Key{Server: broker.ServerName(config.Servers[i].Name)}, Zone: config.Servers[i].Zone,
-		})
+		server := &config.Servers[i]
+		if !foreign[server.Zone] && j.inCell(server.Name) {
+			list = append(list, leaser.Resource{
+				Key: leaser.Key{Server: broker.ServerName(server.Name)}, Zone: server.Zone,
+			})
+		}
 	}
 	claimed := make(map[string]bool)
 	for i := range config.RequestKinds {
@@ -122,14 +128,29 @@
 			continue
 		}
 		for k := range service.Shards {
-			list = append(list, leaser.Resource{Key: leaser.Key{
-				Service: service.Name, Shard: broker.ShardName(service.Shards[k].Name),
-			}})
+			if name := service.Shards[k].Name; j.inCell(service.Name + "/" + name) {
+				list = append(list, leaser.Resource{
+					Key: leaser.Key{Service: service.Name, Shard: broker.ShardName(name)},
+				})
+			}
 		}
 	}
 	return list
 }
 
+func (j *Joiner) inCell(key string) bool {
+	return ranker.Cell(j.settings.Cells, key) == j.settings.Cell
+}
+
+// foreignZones returns the zones that lie in another region.
+func (j *Joiner) foreignZones(zones []configurator.Zone) map[string]bool {
+	foreign := make(map[string]bool)
+	for i := range zones {
+		foreign[zones[i].Name] = j.settings.Region != "" && zones[i].Region != j.settings.Region
+	}
+	return foreign
+}
+
 // isMember returns whether the member list in force names this incarnation.
 func (j *Joiner) isMember() bool {
 	for i := range j.membership.Members {
@@ -152,6 +173,6 @@
 	j.step(now, leaser.Adopt{Membership: j.membership})
 	if j.adopter.Table() != nil {
 		j.core.Load().SetRevision(j.adopter.Revision())
-		j.step(now, leaser.Assign{Resources: resources(j.adopter.Table())})
+		j.step(now, leaser.Assign{Resources: j.resources(j.adopter.Table())})
 	}
 }
--- a/internal/broker/coordination/leaser/core.go
+++ b/internal/broker/coordination/leaser/core.go
@@ -79,7 +79,9 @@
 
 	lifecycle *fsm.FSM
 	lease     *lease
-	dirty     bool
+	stale     bool // the owners are out of date
+	dirty     bool // the published view is out of date
+	waiting   bool // some key may have a tenure to start
 	view      atomic.Pointer[view]
 	actions   []Action
 }
--- a/internal/broker/coordination/leaser/generation.go
+++ b/internal/broker/coordination/leaser/generation.go
@@ -129,7 +129,7 @@
 	}
 	c.meet(now, m.Members)
 	c.lease = &lease{}
-	c.dirty = true
+	c.stale = true
 	c.beatAt = time.Time{} // the next tick announces it
 	switch {
 	case c.member:
--- a/internal/broker/coordination/leaser/quorum.go
+++ b/internal/broker/coordination/leaser/quorum.go
@@ -29,7 +29,7 @@
 		return
 	}
 	c.excluded[id] = time.Time{}
-	c.dirty = true
+	c.stale = true
 	c.beatAt = time.Time{} // the next tick announces it
 }
 
--- a/internal/broker/coordination/leaser/rules_test.go
+++ b/internal/broker/coordination/leaser/rules_test.go
@@ -161,3 +161,14 @@
 		})
 	}
 }
+
+// TestAssignReplacesKeys guards against a new server without an owner when another is removed at the same time.
+func TestAssignReplacesKeys(t *testing.T) {
+	b := newBench(t, "a", "b", "c")
+	b.pass(5*time.Second, 1, nil, "a", "c")
+	added := Key{Server: "added"}
+	b.step(Assign{Resources: []Resource{{Key: added}}})
+	if got := b.core.Owner(added); got == "" {
+		t.Error("got no owner of an added server, want one")
+	}
+}
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -27,7 +27,7 @@
 			lost = append(lost, key)
 		}
 	}
-	c.slots, c.resources, c.dirty = next, resources, true
+	c.slots, c.resources, c.stale = next, resources, true
 	for key := range c.releases {
 		if next[key] == nil {
 			delete(c.releases, key)
@@ -51,7 +51,7 @@
 	} else {
 		c.lease.expiry.Store(int64(expiry.Sub(c.epoch)))
 	}
-	if c.dirty {
+	if c.stale {
 		c.reassign(now)
 	}
 	c.start(now)
@@ -76,6 +76,7 @@
 
 // reassign finds the owners after a change of the exclusions or keys and ends the tenures that this member lost.
 func (c *Core) reassign(now time.Time) {
+	c.stale, c.dirty, c.waiting = false, true, true
 	live := now.Before(c.inForce(now))
 	handover := make(map[broker.NodeID][]Key)
 	var planned, unplanned []Key
@@ -98,10 +99,11 @@
 
 // start begins the tenures whose wait is over.
 func (c *Core) start(now time.Time) {
-	if !c.settled || c.isExcluded(c.self.ID) || !now.Before(c.granted(now)) {
+	if !c.waiting || !c.settled || c.isExcluded(c.self.ID) || !now.Before(c.granted(now)) {
 		return
 	}
 	var planned, unplanned []Key
+	c.waiting = false
 	for _, r := range c.resources {
 		s := c.slots[r.Key]
 		if s.active || s.owner != c.self.ID {
@@ -109,6 +111,7 @@
 		}
 		at, byRelease, ok := c.startAt(s)
 		if !ok || now.Before(at) {
+			c.waiting = true
 			continue
 		}
 		s.active, s.continued, s.since = true, false, now
@@ -186,6 +189,7 @@
 			lost = append(lost, r.Key)
 		}
 	}
+	c.waiting = true
 	c.lose(nil, lost, nil)
 }
 
--- a/internal/broker/coordination/ranker/ranker.go
+++ b/internal/broker/coordination/ranker/ranker.go
@@ -49,14 +49,30 @@
 	return best.member.ID
 }
 
+// Cell returns the cell to which key belongs, by rendezvous hashing over the names of cells.
+func Cell(cells []string, key string) string {
+	best, top := "", uint64(0)
+	for _, cell := range cells {
+		if s := score(key, cell); best == "" || s > top || s == top && cell < best {
+			best, top = cell, s
+		}
+	}
+	return best
+}
+
 // newCandidate hashes the node name without its incarnation, so that a restarted node owns the same keys again.
 func newCandidate(member *broker.Member, key, zone string) candidate {
 	name, _, _ := strings.Cut(string(member.ID), "/")
-	digest := xxhash.New()
+	return candidate{member: member, near: zone != "" && member.Zone == zone, score: score(key, name)}
+}
+
+func score(key, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
 	_, _ = digest.WriteString(key)
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.WriteString(name)
-	return candidate{member: member, near: zone != "" && member.Zone == zone, score: digest.Sum64()}
+	return digest.Sum64()
 }
 
 func compare(a, b candidate) int {
--- a/internal/broker/coordination/ranker/ranker_test.go
+++ b/internal/broker/coordination/ranker/ranker_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// TestCell guards against keys that change their cell when an unrelated cell is added.
+func TestCell(t *testing.T) {
+	for i := range 1000 {
+		key := fmt.Sprintf("server-%d", i)
+		before, after := Cell([]string{"a", "b"}, key), Cell([]string{"c", "b", "a"}, key)
+		if after != before && after != "c" {
+			t.Fatalf("got cell %s for %s with c added, want %s or c", after, key, before)
+		}
+	}
+	if got := Cell([]string{"a", "b"}, "server-1"); got != "a" && got != "b" {
+		t.Errorf("got cell %q, want one of the two", got)
+	}
+}
+
 func BenchmarkRank(b *testing.B) {
 	all := members(7)
 	for b.Loop() {
