Check leases on the wall clock as well as the monotonic one

Cause: the monotonic clock may stand still while a virtual machine is suspended; a holder that wakes would then believe in a lease that has expired, and dispatch. Change: a lease must be unexpired on both clocks; a wall clock that runs ahead of the monotonic one by more than a heartbeat makes the member drop its grants, those of heartbeats under way included. Conclusion: covered by tests of the parts; no test suspends a machine.

--- a/internal/broker/coordination/leaser/core.go
+++ b/internal/broker/coordination/leaser/core.go
@@ -71,6 +71,7 @@
 
 	sequence  uint64
 	sent      [sentSlots]sent
+	lastStep  time.Time
 	lastTick  time.Time
 	beatAt    time.Time
 	rewriteAt time.Time
@@ -96,6 +97,7 @@
 		excluded:  make(map[broker.NodeID]time.Time),
 		slots:     make(map[Key]*slot),
 		releases:  make(map[Key]release),
+		lastStep:  epoch,
 		lastTick:  epoch,
 		lifecycle: newLifecycle(),
 		lease:     &lease{},
@@ -121,6 +123,12 @@
 // Step takes one event at now and returns the actions to carry out, in order. Times must not go back.
 func (c *Core) Step(now time.Time, event Event) []Action {
 	c.actions = nil
+	// Round removes the monotonic reading. The wall clock runs ahead after a suspension that the monotonic clock
+	// did not count.
+	if now.Round(0).Sub(c.lastStep.Round(0))-now.Sub(c.lastStep) > c.settings.Heartbeat {
+		c.forgetGrants(now)
+	}
+	c.lastStep = now
 	switch e := event.(type) {
 	case Tick:
 		c.tick(now)
@@ -159,6 +167,15 @@
 	c.excludeSilent(now)
 }
 
+// forgetGrants drops all grants, also those of heartbeats that are not answered yet, because their age is unknown.
+func (c *Core) forgetGrants(now time.Time) {
+	for _, p := range c.peers {
+		p.grant, p.heard = time.Time{}, now
+	}
+	c.bridge = time.Time{}
+	c.sent = [sentSlots]sent{}
+}
+
 // beat sends the heartbeats that are due; nodes that are not members send them to learn what has changed.
 func (c *Core) beat(now time.Time) {
 	if now.Before(c.beatAt) || len(c.membership.Members) == 0 {
--- a/internal/broker/coordination/leaser/rules_test.go
+++ b/internal/broker/coordination/leaser/rules_test.go
@@ -135,12 +135,14 @@
 	tests := []struct {
 		name           string
 		before, after  time.Duration // silence of the others before and after the new generation
+		suspended      bool
 		generation     broker.Generation
 		handover, kept bool
 	}{
 		{name: "live lease", generation: 2, handover: true, kept: true},
 		{name: "lapsed before the generation", before: 3 * time.Second, generation: 2},
 		{name: "lapsed before the confirmation", after: 3 * time.Second, generation: 2, handover: true},
+		{name: "suspended before the generation", suspended: true, generation: 2},
 		{name: "generation skipped", generation: 5},
 	}
 	for _, tt := range tests {
@@ -148,6 +150,9 @@
 			b := newBench(t, "a", "b", "c")
 			b.pass(5*time.Second, 1, nil, "a", "c")
 			b.pass(tt.before, 1, nil)
+			if tt.suspended {
+				b.core.forgetGrants(b.now)
+			}
 			b.step(Adopt{Membership: next(tt.generation, "a", "b", "c", "d")})
 			b.pass(tt.after, tt.generation, nil)
 			b.pass(time.Second, tt.generation, nil, "a", "c", "d")
@@ -172,3 +177,17 @@
 		t.Error("got no owner of an added server, want one")
 	}
 }
+
+// TestLeaseOnTwoClocks guards against a dispatch after a suspension that the monotonic clock did not count, and
+// after the wall clock was set back.
+func TestLeaseOnTwoClocks(t *testing.T) {
+	var l lease
+	l.set(simStart.Add(2*time.Second), simStart)
+	at := func(d time.Duration) int64 { return simStart.Add(d).UnixNano() }
+	if !l.live(time.Second, at(time.Second)) {
+		t.Error("got no lease before the expiry, want one")
+	}
+	if l.live(time.Second, at(time.Minute)) || l.live(time.Minute, at(time.Second)) {
+		t.Error("got a lease after the expiry on one clock, want none")
+	}
+}
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -46,11 +46,7 @@
 		c.bridge = time.Time{}
 	}
 	expiry := c.inForce(now)
-	if expiry.IsZero() {
-		c.lease.expiry.Store(0)
-	} else {
-		c.lease.expiry.Store(int64(expiry.Sub(c.epoch)))
-	}
+	c.lease.set(expiry, c.epoch)
 	if c.stale {
 		c.reassign(now)
 	}
