Apply a rewrite of the member list only to the list that it was decided for

A join could in the same way be written without knowing who is heard of the members. Change: a writer that finds another generation than its own adopts that one first.

--- a/internal/broker/coordination/joiner/joiner_test.go
+++ b/internal/broker/coordination/joiner/joiner_test.go
@@ -216,6 +216,31 @@
 	return false
 }
 
+// TestRewriteOfChangedList guards against a removal that was decided for an older list: two survivors of a lost
+// majority that had excluded each other removed both, and nobody owned a server for another 30 s.
+func TestRewriteOfChangedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _, nodes := cluster(t, 3)
+		defer stopAll(nodes)
+		<-time.After(10 * time.Second)
+		synctest.Wait()
+		j := nodes[0].joiner
+		j.post(func() {
+			j.startRewrite(j.clock.Now(), []broker.NodeID{"n1/1"})
+			store.set(func() {
+				object := store.objects[MembersKey("c1")]
+				object.Version++
+				store.objects[object.Key] = object
+			})
+		})
+		<-time.After(time.Second)
+		synctest.Wait()
+		if got := len(j.Members()); got != 3 || nodes[1].self.ID != "n1/1" {
+			t.Errorf("got %d members and %s, want 3 and n1/1", got, nodes[1].self.ID)
+		}
+	})
+}
+
 // TestLeave guards against a planned stop that leaves a server without an owner for the time of a takeover.
 func TestLeave(t *testing.T) {
 	const size = 5
--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -177,13 +177,8 @@
 
 // startJoin adds this process to the member list in place of its predecessors under the same peer address.
 func (j *Joiner) startJoin() {
-	self, known := j.self, j.membership.Generation
-	j.startWrite(func(base broker.Membership) []broker.Member {
-		members := slices.Clone(base.Members)
-		if base.Generation != known {
-			// Whether to join depends on who is heard of the members that are read now.
-			return members
-		}
+	self := j.self
+	j.startWrite(func(members []broker.Member) []broker.Member {
 		members = slices.DeleteFunc(members, func(m broker.Member) bool {
 			return m.Peer == self.Peer || m.ID == self.ID
 		})
@@ -196,16 +191,17 @@
 	if !j.write.due(now) {
 		return
 	}
-	j.startWrite(func(base broker.Membership) []broker.Member {
-		return slices.DeleteFunc(slices.Clone(base.Members), func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
+	j.startWrite(func(members []broker.Member) []broker.Member {
+		return slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
 	})
 }
 
 // startWrite reads the member list, changes it and writes it where it has not changed meanwhile. A lost reply
 // is resolved by the next attempt, which reads the list first and finds the change made.
-func (j *Joiner) startWrite(change func(broker.Membership) []broker.Member) {
+func (j *Joiner) startWrite(change func([]broker.Member) []broker.Member) {
 	key := MembersKey(j.settings.Cell)
-	confirmed, ok := j.core.Load().Confirmed()
+	known := j.membership.Generation
+	_, confirmed := j.core.Load().Confirmed()
 	var result broker.Membership
 	j.start(&j.write, j.settings.StoreTimeout, func(ctx context.Context) error {
 		object, err := j.store.Get(ctx, key)
@@ -217,7 +213,11 @@
 			return err
 		}
 		result = base
-		next := leaser.Advance(base, change(base), ok && confirmed == base.Generation)
+		// Whom to remove, and whether to join, was decided for the known list; a newer one is adopted first.
+		if base.Generation != known {
+			return nil
+		}
+		next := leaser.Advance(base, change(slices.Clone(base.Members)), confirmed)
 		if next == nil {
 			return nil
 		}
--- a/internal/broker/coordination/leaser/rules_test.go
+++ b/internal/broker/coordination/leaser/rules_test.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// TestGrantCountsFromSend guards against a lease that late replies extend beyond what the others wait for.
+func TestGrantCountsFromSend(t *testing.T) {
+	b := newBench(t, "a", "b", "c")
+	b.pass(5*time.Second, 1, nil, "a", "c")
+	b.pass(b.core.settings.Heartbeat, 1, nil)
+	sequence := b.core.sequence
+	sent := b.core.sent[sequence%sentSlots].at
+	b.pass(1500*time.Millisecond, 1, nil)
+	b.step(Received{From: "a", Reply: &broker.HeartbeatReply{Sequence: sequence, Generation: 1, Granted: true}})
+	end := sent.Add(b.core.settings.Lease)
+	for _, r := range b.core.resources {
+		if b.core.May(r.Key, end) {
+			t.Fatalf("got the right to %s %v after the last granted heartbeat, want none", r.Key.Server, end.Sub(sent))
+		}
+	}
+}
+
 // TestAssignReplacesKeys guards against a new server without an owner when another is removed at the same time.
 func TestAssignReplacesKeys(t *testing.T) {
 	b := newBench(t, "a", "b", "c")
--- a/internal/broker/coordination/leaser/sim_test.go
+++ b/internal/broker/coordination/leaser/sim_test.go
@@ -358,7 +358,7 @@
 		s.adopt(n, result)
 	}
 	failed := func() { s.on(n, time.Second, func() { n.writing = false }) }
-	confirmed, ok := n.core.Confirmed()
+	known, confirmed := n.core.Confirmed()
 	self := n.self
 	change := func(members []broker.Member) []broker.Member {
 		members = slices.DeleteFunc(members, func(m broker.Member) bool { return slices.Contains(remove, m.ID) })
@@ -374,8 +374,8 @@
 			return
 		}
 		base := s.decoded
-		next := Advance(base, change(slices.Clone(base.Members)), ok && confirmed == base.Generation)
-		if next == nil {
+		next := Advance(base, change(slices.Clone(base.Members)), confirmed)
+		if next == nil || base.Generation != known {
 			done(base)
 			return
 		}
