--- a/internal/broker/coordination/joiner/joiner_test.go
+++ b/internal/broker/coordination/joiner/joiner_test.go
@@ -216,6 +216,31 @@
 	return false
 }
 
+// TestRewriteOfChangedList guards against a removal that was decided for an older list: two survivors of a lost
+// majority that had excluded each other removed both, and nobody owned a server for another 30 s.
+func TestRewriteOfChangedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _, nodes := cluster(t, 3)
+		defer stopAll(nodes)
+		<-time.After(10 * time.Second)
+		synctest.Wait()
+		j := nodes[0].joiner
+		j.post(func() {
+			j.startRewrite(j.clock.Now(), []broker.NodeID{"n1/1"})
+			store.set(func() {
+				object := store.objects[MembersKey("c1")]
+				object.Version++
+				store.objects[object.Key] = object
+			})
+		})
+		<-time.After(time.Second)
+		synctest.Wait()
+		if got := len(j.Members()); got != 3 || nodes[1].self.ID != "n1/1" {
+			t.Errorf("got %d members and %s, want 3 and n1/1", got, nodes[1].self.ID)
+		}
+	})
+}
+
 // TestLeave guards against a planned stop that leaves a server without an owner for the time of a takeover.
 func TestLeave(t *testing.T) {
 	const size = 5
@@ -255,6 +280,37 @@
 	}
 }
 
+// TestRollingRestart guards against planned restarts that interrupt the work for a server.
+func TestRollingRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 150 * time.Millisecond
+		store, w, nodes := cluster(t, 7)
+		defer func() { stopAll(nodes) }()
+		longest := time.Duration(0)
+		pass := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				longest = max(longest, until(t, time.Second, "owners", allOwned(t, nodes)))
+				<-time.After(10 * time.Millisecond)
+			}
+		}
+		for i := range nodes {
+			left := make(chan error, 1)
+			go func() { left <- nodes[i].joiner.Leave(context.Background()) }()
+			pass(3 * time.Second)
+			if err := <-left; err != nil {
+				t.Error(err)
+			}
+			nodes[i].stop()
+			nodes[i] = w.start(t, store, fmt.Sprintf("n%d", i), 2, i)
+			pass(4 * time.Second)
+		}
+		t.Logf("at most %v without an owner in 7 restarts", longest)
+		if longest > limit {
+			t.Errorf("got %v without an owner, want at most %v", longest, limit)
+		}
+	})
+}
+
 // TestZoneOut guards against a node that stays an owner while its zone is out, or an entry for ever after it.
 func TestZoneOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -28,7 +28,7 @@
 			lost = append(lost, key)
 		}
 	}
-	c.slots, c.resources, c.dirty = next, resources, true
+	c.slots, c.resources, c.stale = next, resources, true
 	for key := range c.releases {
 		if next[key] == nil {
 			delete(c.releases, key)
@@ -47,12 +47,8 @@
 		c.bridge = time.Time{}
 	}
 	expiry := c.inForce(now)
-	if expiry.IsZero() {
-		c.lease.expiry.Store(0)
-	} else {
-		c.lease.expiry.Store(int64(expiry.Sub(c.epoch)))
-	}
-	if c.dirty {
+	c.lease.set(expiry, c.epoch)
+	if c.stale {
 		c.reassign(now)
 	}
 	c.start(now)
@@ -77,6 +73,7 @@
 
 // reassign finds the owners after a change of the exclusions or keys and ends the tenures that this member lost.
 func (c *Core) reassign(now time.Time) {
+	c.stale, c.dirty, c.waiting = false, true, true
 	live := now.Before(c.inForce(now))
 	handover := make(map[successor][]Key)
 	var planned, unplanned []Key
@@ -100,10 +97,11 @@
 
 // start begins the tenures whose wait is over.
 func (c *Core) start(now time.Time) {
-	if !c.settled || c.isExcluded(c.self.ID) || !now.Before(c.granted(now)) {
+	if !c.waiting || !c.settled || c.isExcluded(c.self.ID) || !now.Before(c.granted(now)) {
 		return
 	}
 	var planned, unplanned []Key
+	c.waiting = false
 	for _, r := range c.resources {
 		s := c.slots[r.Key]
 		if s.active || s.owner != c.self.ID {
@@ -111,6 +109,7 @@
 		}
 		at, byRelease, ok := c.startAt(s)
 		if !ok || now.Before(at) {
+			c.waiting = true
 			continue
 		}
 		s.active, s.continued, s.cleared, s.since = true, false, true, now
@@ -213,6 +212,7 @@
 			lost = append(lost, r.Key)
 		}
 	}
+	c.waiting = true
 	c.lose(nil, lost, nil)
 }
 
@@ -227,13 +227,22 @@
 			return
 		}
 	}
+	// A new generation restarts the waits of members that are taking over, so it comes after them. Where the
+	// majority is lost, nobody takes over before it.
+	delay := c.settings.Wait + c.settings.Rewrite
+	if c.Lifecycle() != LeaseHeld {
+		delay = 0
+	}
+	early := func(at time.Time) bool { return at.IsZero() || now.Sub(at) < delay }
 	remove := c.exclusions()
 	for _, id := range remove {
-		// A new generation restarts the waits of members that are taking over, so it comes after them.
-		if at := c.excluded[id]; at.IsZero() || now.Sub(at) < c.settings.Wait+c.settings.Rewrite {
+		if early(c.excluded[id]) {
 			return
 		}
 	}
+	if len(remove) == 0 && early(c.confirmedAt) {
+		return
+	}
 	if len(remove) == 0 && len(c.membership.Earlier) < maxEarlier {
 		return
 	}
