--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,11 @@
 	// leaveLimit bounds the wait for the store to take this node off the member list. The hand-over itself needs the
 	// peers only, and they exclude a node that is gone.
 	leaveLimit = 5 * time.Second
+	// settleTime is how long after a change of the member list a handover takes effect at once: the next owner waits
+	// for 2.1 s after the list is confirmed, which takes two heartbeats at most, and a server has no owner meanwhile.
+	settleTime = 2600 * time.Millisecond
+	// settleLimit bounds the wait for that; it leaves most of the stop deadline for the stop itself.
+	settleLimit = 8 * time.Second
 	// announceInterval repeats the states of owned servers, which makes good a lost announcement.
 	announceInterval = 5 * time.Second
 	// announcedFor is how old the last announcement of a server may be for a new owner to trust it.
@@ -111,9 +116,13 @@
 	forwards     *forwards
 	sequence     atomic.Uint64
 	announced    *announcements
+	leftover     map[broker.ServerName]broker.ServerState // of servers lost in a planned way; for the release that follows
 	liveness     *liveness
 	zoneOutSince atomic.Pointer[time.Time]
+	membersSince atomic.Pointer[time.Time] // when the member list in force was adopted
 	tasks        sync.WaitGroup
+	stopOwner    context.CancelFunc // ends the owner's ticks; ownerStopped tells when
+	ownerStopped chan struct{}
 }
 
 // New builds a daemon and opens its sockets; Run serves on them.
@@ -131,6 +140,7 @@
 		pending:    newPending(),
 		forwards:   newForwards(),
 		announced:  newAnnouncements(),
+		leftover:   make(map[broker.ServerName]broker.ServerState),
 		liveness:   newLiveness(),
 	}
 	s.drainer = drainer.New(func(from, to string) {
@@ -209,12 +219,26 @@
 	case <-ctx.Done():
 	case <-force.Done():
 	}
+	s.settle(force)
 	err := s.stop(force)
 	stopWork()
 	s.tasks.Wait()
 	return err
 }
 
+// settle waits until a handover will take effect at once; it gives up where the member list keeps changing.
+func (s *Server) settle(force context.Context) {
+	ctx, cancel := context.WithTimeout(force, settleLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		since := s.membersSince.Load()
+		if since == nil || time.Since(*since) >= settleTime {
+			return
+		}
+		wait(ctx, time.Until(since.Add(settleTime)))
+	}
+}
+
 func (s *Server) start(ctx context.Context) {
 	s.tasks.Go(func() {
 		if err := s.listener.Serve(s.socket); err != nil {
@@ -226,7 +250,12 @@
 			s.logger.Error("membership ended", "error", err)
 		}
 	})
-	s.tasks.Go(func() { s.owner.Run(ctx) })
+	ownerCtx, stopOwner := context.WithCancel(ctx)
+	s.stopOwner, s.ownerStopped = stopOwner, make(chan struct{})
+	s.tasks.Go(func() {
+		defer close(s.ownerStopped)
+		s.owner.Run(ownerCtx)
+	})
 	s.tasks.Go(func() { s.maintain(ctx) })
 }
 
@@ -265,8 +294,14 @@
 	return nil
 }
 
-// waitForDispatched waits for work that other entries have given to this owner.
+// waitForDispatched waits for work that other entries have given to this owner. Nothing may be dispatched meanwhile, so
+// ticks end, and servers that could not be handed over are given up.
 func (s *Server) waitForDispatched(ctx context.Context) {
+	s.stopOwner()
+	<-s.ownerStopped
+	for _, state := range s.owner.States() {
+		s.owner.Release(state.Server)
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
