--- a/internal/broker/coordination/scatterer/policy_test.go
+++ b/internal/broker/coordination/scatterer/policy_test.go
@@ -95,7 +95,8 @@
 // after schedules run behind the events that are due at the same time.
 func (m *model) after(delay time.Duration, run func()) {
 	at := m.now + delay
-	i, _ := slices.BinarySearchFunc(m.events, at, func(e event, at time.Duration) int { return cmp.Compare(at, e.at) })
+	later := func(e event, at time.Duration) int { return cmp.Compare(at, e.at) }
+	i, _ := slices.BinarySearchFunc(m.events, at, later)
 	m.events = slices.Insert(m.events, i, event{at: at, run: run})
 }
 
@@ -141,7 +142,8 @@
 
 func (m *model) arrive(number int) {
 	q := &modelQuery{number: number, arrived: m.now, jobs: map[broker.Cancel]*job{}}
-	request := Request{Query: broker.Query{RequestID: strconv.Itoa(number)}, Deadline: epoch.Add(m.now + modelDeadline)}
+	request := Request{Deadline: epoch.Add(m.now + modelDeadline)}
+	request.Query.RequestID = strconv.Itoa(number)
 	q.session = m.entries[number%len(m.entries)].session(uint64(number), request, epoch.Add(m.now))
 	m.act(q, q.session.Start(epoch.Add(m.now)))
 }
--- a/internal/broker/coordination/scatterer/property_test.go
+++ b/internal/broker/coordination/scatterer/property_test.go
@@ -112,7 +112,8 @@
 	answer.Outcome = rapid.SampledFrom([]broker.Outcome{1, 1, 1, 2, 2, 2, 3, 4}).Draw(o.T, "outcome")
 	switch answer.Outcome {
 	case broker.OutcomeNotRun:
-		answer.Reason = rapid.SampledFrom([]broker.Reason{"overloaded", "snapshotMissing", "snapshotMissing", "notOwner"}).Draw(o.T, "reason")
+		refusals := []broker.Reason{"overloaded", "snapshotMissing", "snapshotMissing", "notOwner"}
+		answer.Reason = rapid.SampledFrom(refusals).Draw(o.T, "reason")
 	case broker.OutcomeUnknown:
 		answer.Reason = rapid.SampledFrom([]broker.Reason{"silent", "crashed"}).Draw(o.T, "reason")
 	}
