Add slope benchmarks and a command that fits them

Cause: docs/CAPACITY.md has to derive the planned size from measured slopes, and the benchmarks had one size each.

Change: internal/estimator fits a line by least squares with the standard errors of slope and extrapolation, from at least four different sizes; internal/estimator/slopes reads "go test -bench" results and writes a Markdown table. The benchmarks whose names contain Slope cover the entry's session, planning, merge, peer frames, peer links, the owner's Submit and Tick, the dispatcher's exchange, rank, generation change, heartbeat interval, table adoption with memory, parsing, and the store calls of a cell's start and of a restart. BenchmarkHandle moved to bench_test.go; the single-size BenchmarkParse, BenchmarkRank and the encoder's benchmarks became slopes.

--- a/internal/broker/coordination/joiner/fakes_test.go
+++ b/internal/broker/coordination/joiner/fakes_test.go
@@ -28,6 +28,7 @@
 	changed chan struct{}
 	hosts   []broker.Host
 	calls   int
+	puts    int
 
 	down      bool
 	latency   time.Duration
@@ -85,6 +86,7 @@
 	}
 	var err error
 	s.set(func() {
+		s.puts++
 		if s.objects[key].Version != version {
 			err = errors.Errorf("version is %d, not %d", s.objects[key].Version, version)
 			return
--- a/internal/broker/coordination/owner/owner_test.go
+++ b/internal/broker/coordination/owner/owner_test.go
@@ -493,18 +493,3 @@
 	answer.Outcome = broker.OutcomeAnswered
 	return broker.BackendResult{Answer: answer, BytesSent: true, BootID: "a1/1"}
 }
-
-// BenchmarkHandle measures one sub-request at a warm server without input and output.
-func BenchmarkHandle(b *testing.B) {
-	h := newHarness(&instantBackend{}, nil)
-	h.SetTable(table(configurator.ZoneIn, netip.AddrPort{}, configurator.ColdStart{Concurrency: 2}))
-	h.Adopt("a1", &broker.ServerState{}, true)
-	h.Wait()
-	sub := request("a1", 1, 5)
-	b.ReportAllocs()
-	for b.Loop() {
-		if got := h.Handle(b.Context(), sub); got.Outcome != broker.OutcomeAnswered {
-			b.Fatalf("got %v %q", got.Outcome, got.Reason)
-		}
-	}
-}
--- a/internal/broker/coordination/ranker/ranker_test.go
+++ b/internal/broker/coordination/ranker/ranker_test.go
@@ -51,9 +51,13 @@
 	}
 }
 
-func BenchmarkRank(b *testing.B) {
-	all := members(7)
-	for b.Loop() {
-		Rank(all, "server-1", "z1")
+func BenchmarkSlopeRank(b *testing.B) {
+	for _, count := range []int{3, 7, 20, 50, 200, 690} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			all := members(count)
+			for b.Loop() {
+				Rank(all, "server-1", "z1")
+			}
+		})
 	}
 }
--- a/internal/broker/protocol/encoder/bench_test.go
+++ b/internal/broker/protocol/encoder/bench_test.go
@@ -81,15 +81,15 @@
 	b.ReportMetric(float64(bytes)/float64(size), "B/message")
 }
 
-func BenchmarkSubRequest(b *testing.B) {
+func BenchmarkSlopeSubRequest(b *testing.B) {
 	for _, size := range batchSizes {
 		b.Run(fmt.Sprintf("encode/batch=%d", size), func(b *testing.B) { benchmarkEncode(b, sampleRequest(), size) })
 		b.Run(fmt.Sprintf("decode/batch=%d", size), func(b *testing.B) { benchmarkDecode(b, sampleRequest(), size) })
 	}
 }
 
-func BenchmarkSubAnswer(b *testing.B) {
-	for _, hits := range []int{0, 3, 10} {
+func BenchmarkSlopeSubAnswer(b *testing.B) {
+	for _, hits := range []int{0, 1, 3, 10, 30} {
 		b.Run(fmt.Sprintf("encode/hits=%d", hits), func(b *testing.B) { benchmarkEncode(b, sampleAnswer(hits), 16) })
 		b.Run(fmt.Sprintf("decode/hits=%d", hits), func(b *testing.B) { benchmarkDecode(b, sampleAnswer(hits), 16) })
 	}
--- /dev/null
+++ b/internal/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator fits straight lines to measured sizes and extrapolates them with their error.
+package estimator
--- a/pkg/configurator/configurator_test.go
+++ b/pkg/configurator/configurator_test.go
@@ -306,11 +306,11 @@
 	})
 }
 
-// BenchmarkParse measures the planned size: 2,800 servers, two for each shard.
-func BenchmarkParse(b *testing.B) {
+// sized returns the encoding of a configuration with two servers for each shard of one service.
+func sized(b *testing.B, servers int) []byte {
 	builder := New("planned").Zones(NewZone("a", "west"))
 	service := NewService("search", RoutingScatter)
-	for i := range 1400 {
+	for i := range servers / 2 {
 		var replicas []string
 		for replica := range 2 {
 			name := fmt.Sprintf("search-%04d-%d", i, replica)
@@ -328,10 +328,21 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	for b.Loop() {
-		if _, err := Parse(data); err != nil {
-			b.Fatal(err)
-		}
+	return data
+}
+
+// BenchmarkSlopeParse measures decoding and validation up to the planned size of 2,800 servers.
+func BenchmarkSlopeParse(b *testing.B) {
+	for _, servers := range []int{60, 240, 960, 2800} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			data := sized(b, servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Parse(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
 	}
-	b.ReportMetric(float64(len(data)), "bytes")
 }
