--- a/internal/broker/coordination/scatterer/bench_test.go
+++ b/internal/broker/coordination/scatterer/bench_test.go
@@ -9,55 +9,73 @@
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
 
-var benchmarkKind = configurator.RequestKind{
-	Idempotent: true, MinCoverage: 1, HedgeQuantile: 0.95, HedgeBudget: 0.05, RetryBudget: 0.1,
+var benchKind = configurator.RequestKind{
+	Idempotent: true, Deadline: configurator.Duration(200 * time.Millisecond),
+	HedgeQuantile: 0.95, HedgeBudget: 0.05, RetryBudget: 0.1,
 }
 
-// page returns the hits of one shard.
-func page(shard int) []broker.Hit {
-	hits := make([]broker.Hit, 10)
+func benchRequest(now time.Time) Request {
+	return Request{Seen: true, Deadline: now.Add(200 * time.Millisecond), Query: broker.Query{RequestID: "r", Limit: 10}}
+}
+
+func benchHits(shard int) []broker.Hit {
+	hits := make([]broker.Hit, 3)
 	for i := range hits {
-		hits[i] = broker.Hit{ID: fmt.Sprint(shard, i), Score: float64((shard*7919 + i*104729) % 1000003)}
+		hits[i] = broker.Hit{ID: fmt.Sprintf("doc-%d-%d", shard, i), Score: float64((shard*7919 + i*104729) % 10007)}
 	}
 	return hits
 }
 
-// BenchmarkSubRequest measures one sub-request on the entry's path: choice, send, answer and merge of 10 hits.
-func BenchmarkSubRequest(b *testing.B) {
-	for _, shards := range []int{1, 50, 1200} {
+// BenchmarkSlopeSession measures one query with three hits from each shard, without messages.
+func BenchmarkSlopeSession(b *testing.B) {
+	for _, shards := range []int{50, 150, 400, 800, 1200} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
-			f := newFixture(shards, 2, benchmarkKind, configurator.RoutingScatter)
-			request := Request{Query: broker.Query{Limit: 10}, Deadline: epoch.Add(200 * time.Millisecond)}
-			hits := page(0)
+			f := newFixture(shards, 2, benchKind, configurator.RoutingScatter)
+			answers := make([]broker.SubAnswer, shards)
+			now := epoch
 			b.ReportAllocs()
-			for n := 0; n < b.N; n += shards {
-				s := f.session(uint64(n), request, epoch)
-				actions := s.Start(epoch)
-				for _, send := range actions.Sends {
-					answer := reply(send.Sub, hits...)
-					actions = s.Answer(epoch.Add(time.Millisecond), &answer)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s := f.session(1, benchRequest(now), now)
+				for i, send := range s.Start(now).Sends {
+					answers[i] = NotSent(send.Sub)
+					answers[i].Outcome, answers[i].Reason = broker.OutcomeAnswered, broker.ReasonNone
 				}
-				if actions.Finish == nil {
-					b.Fatal("no answer")
+				for i := range answers {
+					s.Answer(now.Add(time.Duration(i)*time.Microsecond), &answers[i])
+				}
+				if !s.finished || s.answered != shards {
+					b.Fatalf("got %d answers of %d", s.answered, shards)
 				}
 			}
 		})
 	}
 }
 
-// BenchmarkMerge measures the merge of one query's answers of 10 hits each.
-func BenchmarkMerge(b *testing.B) {
-	for _, shards := range []int{50, 200, 600, 1200} {
+// BenchmarkSlopePlan measures planning and the first attempts alone, with two servers for each shard.
+func BenchmarkSlopePlan(b *testing.B) {
+	for _, servers := range []int{60, 240, 960, 2800} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			f := newFixture(servers/2, 2, benchKind, configurator.RoutingScatter)
+			for b.Loop() {
+				f.session(1, benchRequest(epoch), epoch).Start(epoch)
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeMerge measures the merge of three hits from each shard into ten.
+func BenchmarkSlopeMerge(b *testing.B) {
+	for _, shards := range []int{50, 150, 400, 800, 1200} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
-			pages := make([][]broker.Hit, shards)
-			for i := range pages {
-				pages[i] = page(i)
+			hits := make([][]broker.Hit, shards)
+			for i := range hits {
+				hits[i] = benchHits(i)
 			}
-			b.ReportAllocs()
 			for b.Loop() {
 				m := merger{limit: 10}
-				for i := range pages {
-					m.add("s", pages[i])
+				for i := range hits {
+					m.add("s", hits[i])
 				}
 				m.result()
 			}
--- a/internal/broker/transport/linker/bench_test.go
+++ b/internal/broker/transport/linker/bench_test.go
@@ -1,233 +1,186 @@
 package linker
 
 import (
-	"bytes"
 	"fmt"
-	"io"
+	"log/slog"
 	"runtime"
-	"syscall"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/quic-go/quic-go"
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
-	"github.com/yuccarock/yuccarock/internal/broker/protocol/encoder"
+	"github.com/yuccarock/yuccarock/internal/estimator"
+	"github.com/yuccarock/yuccarock/internal/standin/certifier"
 )
 
-const (
-	// datagramOverhead is the size of an IPv4 and a UDP header.
-	datagramOverhead = 28
+// packetOverhead is the size of the headers of IPv4 and UDP.
+const packetOverhead = 28
 
-	benchID    = "0197b8b4-5cf3-7c1e-9c53-2f0f3e5a7d11"
-	bodySize   = 44
-	fieldsSize = 51
-)
-
-var (
-	benchHeartbeat = broker.Message{Heartbeat: &broker.Heartbeat{Sequence: 1e6, Generation: 4e4, Revision: 4e4}}
-	benchReply     = broker.Message{HeartbeatReply: &broker.HeartbeatReply{
-		Sequence: 1e6, Generation: 4e4, Revision: 4e4, Granted: true,
-	}}
-)
-
-// usage is the processor time of the process, hence of both ends, and the traffic of the link to b/1.
-type usage struct {
-	cpu  time.Duration
-	wire quic.ConnectionStats
+// benchNode answers sub-requests and heartbeats and counts answers and links.
+type benchNode struct {
+	*Linker
+	links   atomic.Int32
+	answers sync.WaitGroup
 }
 
-func measure(n *node) usage {
-	var times syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &times); err != nil {
-		panic(err)
+func (n *benchNode) LinkUp(broker.NodeID)   { n.links.Add(1) }
+func (n *benchNode) LinkDown(broker.NodeID) { n.links.Add(-1) }
+
+func (n *benchNode) HandleMessage(from broker.NodeID, m broker.Message) {
+	switch {
+	case m.SubRequest != nil:
+		answer := broker.SubAnswer{RequestID: m.SubRequest.RequestID, Shard: m.SubRequest.Shard,
+			Server: m.SubRequest.Server, Attempt: m.SubRequest.Attempt, Outcome: broker.OutcomeAnswered}
+		for i := range 3 {
+			answer.Hits = append(answer.Hits, broker.Hit{ID: "doc-0048001", Score: 1 / float64(i+3), Shard: "q-017",
+				Fields: []byte(`{"title":"Bevel gear pair m2.5 z17/34","year":2024}`)})
+		}
+		_ = n.Send(from, broker.Message{SubAnswer: &answer})
+	case m.SubAnswer != nil:
+		n.answers.Done()
+	case m.Heartbeat != nil:
+		_ = n.Send(from, broker.Message{HeartbeatReply: &broker.HeartbeatReply{
+			Sequence: m.Heartbeat.Sequence, Generation: m.Heartbeat.Generation, Revision: 812, Granted: true,
+		}})
 	}
-	cpu := time.Duration(times.Utime.Nano() + times.Stime.Nano())
-	return usage{cpu: cpu, wire: (*n.links.Load())["b/1"].conn.ConnectionStats()}
-}
-
-func (u usage) report(b *testing.B, n *node, count float64, unit string) {
-	now := measure(n)
-	out := now.wire.BytesSent - u.wire.BytesSent + datagramOverhead*(now.wire.PacketsSent-u.wire.PacketsSent)
-	in := now.wire.BytesReceived - u.wire.BytesReceived +
-		datagramOverhead*(now.wire.PacketsReceived-u.wire.PacketsReceived)
-	b.ReportMetric(float64(now.cpu-u.cpu)/count, "cpu-ns/"+unit)
-	b.ReportMetric(float64(out)/count, "wire-out-B/"+unit)
-	b.ReportMetric(float64(in)/count, "wire-in-B/"+unit)
 }
 
-// exchange sends b.N bursts of a message and waits for all answers of a burst.
-func exchange(b *testing.B, burst int, m, answer broker.Message) {
-	a, peer := newPair(b, Options{})
-	a.done, peer.answer = make(chan struct{}, DefaultQueueMessages), &answer
-	var before usage
-	var frames uint64
-	for i := -2000 / burst; i < b.N; i++ { // the first rounds fill the congestion window and buffers
-		if i == 0 {
-			before, frames = measure(a), a.meter.batches[outgoing].Get()
-			b.ResetTimer()
+// benchCell returns nodes that are linked with each other.
+func benchCell(b *testing.B, authority *certifier.Authority, count int) []*benchNode {
+	nodes := make([]*benchNode, count)
+	members := make([]broker.Member, count)
+	for i := range nodes {
+		n := &benchNode{}
+		id := broker.NodeID(fmt.Sprintf("n%03d/1", i))
+		keys := NewKeyring(identity(b, authority, fmt.Sprintf("n%03d", i)))
+		n.Linker = New(broker.Member{ID: id}, keys, n, wallClock{}, metrics.NewSet(), slog.New(slog.DiscardHandler), Options{})
+		if err := n.Listen(loopback); err != nil {
+			b.Fatal(err)
 		}
-		for range burst {
-			a.mustSend("b/1", m)
+		nodes[i], members[i] = n, broker.Member{ID: id, Peer: n.Address()}
+	}
+	for i, n := range nodes {
+		n.SetPeers(append(append([]broker.Member(nil), members[:i]...), members[i+1:]...))
+	}
+	linked := func() bool {
+		for _, n := range nodes {
+			if int(n.links.Load()) != count-1 {
+				return false
+			}
 		}
-		for range burst {
-			<-a.done
+		return true
+	}
+	for limit := time.Now().Add(waitLimit); !linked(); <-time.After(time.Millisecond) {
+		if time.Now().After(limit) {
+			b.Fatal("got too few links")
 		}
 	}
-	b.StopTimer()
-	messages := float64(b.N * burst)
-	before.report(b, a, messages, "message")
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/messages, "ns/message")
-	b.ReportMetric(messages/float64(a.meter.batches[outgoing].Get()-frames), "messages/frame")
+	return nodes
 }
 
-// BenchmarkBurst gives the cost of a sub-request and its answer by batch size, and the bytes by number of hits.
-func BenchmarkBurst(b *testing.B) {
-	for _, hits := range []int{0, 3, 10} {
-		for _, burst := range []int{1, 4, 16, 64, 256} {
-			b.Run(fmt.Sprintf("hits=%d/batch=%d", hits, burst), func(b *testing.B) {
-				exchange(b, burst, subRequest(benchID, 1, bodySize), subAnswer(benchID, 1, hits, fieldsSize))
-			})
+func stopCell(b *testing.B, nodes []*benchNode) {
+	var stopping sync.WaitGroup
+	for _, n := range nodes {
+		stopping.Go(func() { n.Close(b.Context()) })
+	}
+	stopping.Wait()
+}
+
+// wireBytes returns what all nodes have sent, with the headers of IP and UDP.
+func wireBytes(nodes []*benchNode) (total uint64) {
+	for _, n := range nodes {
+		for _, k := range *n.Linker.links.Load() {
+			stats := k.conn.ConnectionStats()
+			total += stats.BytesSent + packetOverhead*stats.PacketsSent
 		}
 	}
+	return total
 }
 
-// BenchmarkSecond gives the cost of one second of a link with keep-alive only, and with heartbeats from both ends
-// and their replies at an interval.
-func BenchmarkSecond(b *testing.B) {
-	const settle, seconds = 3, 6 // probes of the path MTU end within the first seconds
-	for _, interval := range []time.Duration{time.Hour, 500 * time.Millisecond, 250 * time.Millisecond} {
-		b.Run(fmt.Sprintf("heartbeat=%v", interval), func(b *testing.B) {
-			a, peer := newPair(b, Options{})
-			a.answer, peer.answer = &benchReply, &benchReply
-			ticker := time.NewTicker(interval)
-			defer ticker.Stop()
-			hold := func(limit <-chan time.Time) {
-				for {
-					select {
-					case <-ticker.C:
-						a.mustSend("b/1", benchHeartbeat)
-						peer.mustSend("a/1", benchHeartbeat)
-					case <-limit:
-						return
+// BenchmarkSlopeExchange measures sub-requests over one peer link that wait for their answers together; the
+// processor time is that of both ends.
+func BenchmarkSlopeExchange(b *testing.B) {
+	authority := newAuthority(b, "authority")
+	for _, size := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("requests=%d", size), func(b *testing.B) {
+			nodes := benchCell(b, authority, 2)
+			defer stopCell(b, nodes)
+			request := subRequest("0197b8b4-5cf3-7c1e-9c53-2f0f3e5a7d11", 1, 150)
+			used := estimator.ProcessorTime()
+			sent := wireBytes(nodes)
+			for b.Loop() {
+				nodes[0].answers.Add(size)
+				for range size {
+					if err := nodes[0].Send("n001/1", request); err != nil {
+						b.Fatal(err)
 					}
 				}
+				nodes[0].answers.Wait()
 			}
-			hold(time.After(settle * time.Second))
-			before := measure(a)
-			for b.Loop() {
-				hold(time.After(seconds * time.Second))
-			}
-			before.report(b, a, seconds*float64(b.N), "second")
+			b.ReportMetric(float64(estimator.ProcessorTime()-used)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(wireBytes(nodes)-sent)/float64(b.N), "wire-B/op")
 		})
 	}
 }
 
-// BenchmarkStreams sends each request on a stream of its own, for comparison with BenchmarkBurst.
-func BenchmarkStreams(b *testing.B) {
-	for _, outstanding := range []int{1, 16, 256} {
-		b.Run(fmt.Sprintf("outstanding=%d", outstanding), func(b *testing.B) { benchmarkStreams(b, outstanding) })
-	}
-}
+// benchWindow is how long the traffic of a cell is measured: eight heartbeats or six keep-alives.
+const benchWindow = 2 * time.Second
 
-func benchmarkStreams(b *testing.B, outstanding int) {
-	request, answer := subRequest(benchID, 1, bodySize), subAnswer(benchID, 1, 3, fieldsSize)
-	keys := NewKeyring(identity(b, newAuthority(b, "authority"), "b"))
-	config := Options{}.withDefaults().quic()
-	config.MaxIncomingStreams = 1000
-	listener, _ := quic.ListenAddr(loopback.String(), acceptorTLS(keys, func() {}), config)
-	defer listener.Close()
-	client, _ := dialerTLS(keys, "b")
-	conn, err := quic.DialAddr(b.Context(), listener.Addr().String(), client, config)
-	if err != nil {
-		b.Fatal(err)
+// beat sends the heartbeats of every node for a window, or nothing where it is zero.
+func beat(nodes []*benchNode, interval time.Duration) {
+	if interval == 0 {
+		<-time.After(benchWindow)
+		return
 	}
-	defer conn.CloseWithError(0, "")
-	server, _ := listener.Accept(b.Context())
-	go func() {
-		for stream, err := server.AcceptStream(b.Context()); err == nil; {
-			go func() {
-				readAll(stream)
-				writeAll(stream, &answer)
-			}()
-			stream, err = server.AcceptStream(b.Context())
-		}
-	}()
-	slots := make(chan struct{}, outstanding)
-	for b.Loop() {
-		slots <- struct{}{}
-		stream, err := conn.OpenStreamSync(b.Context())
-		if err != nil {
-			b.Fatal(err)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for sequence := range uint64(benchWindow / interval) {
+		<-ticker.C
+		for _, from := range nodes {
+			for to := range *from.Linker.links.Load() {
+				_ = from.Send(to, broker.Message{Heartbeat: &broker.Heartbeat{
+					Sequence: sequence + 1000, Generation: 4711, Revision: 812,
+				}})
+			}
 		}
-		go func() {
-			writeAll(stream, &request)
-			readAll(stream)
-			<-slots
-		}()
 	}
 }
 
-func writeAll(stream *quic.Stream, m *broker.Message) {
-	var buf bytes.Buffer
-	var batch encoder.Batch
-	encoder.AppendMessage(&buf, m)
-	batch.Add(buf.Bytes())
-	stream.Write(batch.Bytes())
-	stream.Close()
-}
-
-func readAll(stream *quic.Stream) {
-	frame, _ := encoder.NewReader(stream).Next()
-	encoder.Decode(frame, func(encoder.Kind, int, broker.Message) {})
-	io.Copy(io.Discard, stream)
-}
-
-// BenchmarkOpenLinks gives memory and goroutines of one end of an open link that carries heartbeats.
-func BenchmarkOpenLinks(b *testing.B) {
-	for _, links := range []int{2, 8, 24, 64} {
-		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
-			for b.Loop() {
-				openLinks(b, links)
-			}
-		})
+func measureCell(b *testing.B, authority *certifier.Authority, members int, interval time.Duration) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	nodes := benchCell(b, authority, members)
+	defer stopCell(b, nodes)
+	for range 2 {
+		beat(nodes, 0) // path MTU discovery follows the handshake and sends a few packets of full size
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used, sent := estimator.ProcessorTime(), wireBytes(nodes)
+	for b.Loop() {
+		beat(nodes, interval)
 	}
+	seconds := benchWindow.Seconds() * float64(b.N) * float64(members)
+	b.ReportMetric(float64(estimator.ProcessorTime()-used)/seconds/1000, "cpu-µs/s/node")
+	b.ReportMetric(float64(wireBytes(nodes)-sent)/seconds, "wire-B/s/node")
+	held := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+	b.ReportMetric(float64(held)/float64(members), "memory-B/node")
 }
 
-func openLinks(b *testing.B, links int) {
+// BenchmarkSlopeCell measures the peer links of a cell on real sockets: without messages, so that only keep-alives
+// pass, and with a heartbeat of each member to each other one every 250 ms. The links of a node are members - 1.
+func BenchmarkSlopeCell(b *testing.B) {
 	authority := newAuthority(b, "authority")
-	hub := newNode(b, "a/1", authority, "a", Options{})
-	nodes, members := []*node{hub}, []broker.Member{}
-	for i := range links {
-		name := fmt.Sprintf("b%03d", i)
-		nodes = append(nodes, newNode(b, broker.NodeID(name+"/1"), authority, name, Options{}))
-		members = append(members, nodes[i+1].member())
-	}
-	heap, stack, routines := footprint()
-	hub.SetPeers(members)
-	hub.await(b, "links", func() bool { return len(hub.events) == links })
-	for i := range 20 {
-		for _, n := range nodes[1:] {
-			hub.mustSend(n.self.ID, heartbeat(i))
-			n.awaitMessages(b, i+1)
-			n.mustSend("a/1", heartbeat(i))
-		}
-		hub.awaitMessages(b, (i+1)*links)
-	}
-	heapAfter, stackAfter, routinesAfter := footprint()
-	ends := float64(2 * links)
-	b.ReportMetric((heapAfter-heap)/ends, "heap-B/end")
-	b.ReportMetric((stackAfter-stack)/ends, "stack-B/end")
-	b.ReportMetric((routinesAfter-routines)/ends, "goroutines/end")
-	for _, n := range nodes {
-		n.Close(b.Context())
+	for _, members := range []int{3, 5, 7, 9, 20, 50} {
+		b.Run(fmt.Sprintf("idle/members=%d", members), func(b *testing.B) {
+			measureCell(b, authority, members, 0)
+		})
+		b.Run(fmt.Sprintf("beating/members=%d", members), func(b *testing.B) {
+			measureCell(b, authority, members, 250*time.Millisecond)
+		})
 	}
 }
-
-func footprint() (heap, stack, routines float64) {
-	var stats runtime.MemStats
-	runtime.GC()
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc), float64(stats.StackInuse), float64(runtime.NumGoroutine())
-}
