Count the joiner's events for each node

Cause: its counters were global, so that /metrics of a node did not have them. Change: New takes the node's metrics set; two counters that stood twice are gone.

--- a/internal/broker/coordination/joiner/joiner.go
+++ b/internal/broker/coordination/joiner/joiner.go
@@ -26,14 +26,22 @@
 // eventQueue bounds the messages that wait for the event loop; further ones are dropped and counted.
 const eventQueue = 1024
 
-var (
-	droppedMessages = metrics.GetOrCreateCounter(`yuccarock_joiner_dropped_messages_total`)
-	gainedServers   = metrics.GetOrCreateCounter(`yuccarock_joiner_gained_servers_total`)
-	lostServers     = metrics.GetOrCreateCounter(`yuccarock_joiner_lost_servers_total`)
-	adoptedConfigs  = metrics.GetOrCreateCounter(`yuccarock_joiner_adopted_configurations_total`)
-	refusedConfigs  = metrics.GetOrCreateCounter(`yuccarock_joiner_refused_configurations_total`)
-	storeFailures   = metrics.GetOrCreateCounter(`yuccarock_joiner_store_failures_total`)
-)
+// counters are the metrics of one joiner.
+type counters struct {
+	dropped       *metrics.Counter // messages that the event loop had no room for
+	adopted       *metrics.Counter
+	refused       *metrics.Counter // invalid configurations
+	storeFailures *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) counters {
+	return counters{
+		dropped:       set.GetOrCreateCounter("yuccarock_joiner_dropped_messages_total"),
+		adopted:       set.GetOrCreateCounter("yuccarock_joiner_adopted_configurations_total"),
+		refused:       set.GetOrCreateCounter("yuccarock_joiner_refused_configurations_total"),
+		storeFailures: set.GetOrCreateCounter("yuccarock_joiner_store_failures_total"),
+	}
+}
 
 // Kind classifies an Error.
 type Kind string
@@ -138,6 +146,7 @@
 	handler  Handler
 	log      *slog.Logger
 	random   *rand.Rand
+	counters counters
 
 	events  chan func()
 	stopped chan struct{}
@@ -168,10 +177,11 @@
 // New returns a joiner for the process that self describes; seed makes its delays reproducible.
 func New(
 	settings Settings, self broker.Member, clock broker.Clock, store broker.Store, peers broker.Peers,
-	adopter *adopter.Adopter, handler Handler, log *slog.Logger, seed uint64,
+	adopter *adopter.Adopter, handler Handler, set *metrics.Set, log *slog.Logger, seed uint64,
 ) *Joiner {
 	j := &Joiner{
 		settings:  settings,
+		counters:  newCounters(set),
 		clock:     clock,
 		store:     store,
 		peers:     peers,
--- a/internal/broker/coordination/joiner/message.go
+++ b/internal/broker/coordination/joiner/message.go
@@ -28,7 +28,7 @@
 	select {
 	case j.events <- func() { j.handle(from, message) }:
 	default:
-		droppedMessages.Inc()
+		j.counters.dropped.Inc()
 	}
 }
 
--- a/internal/broker/coordination/joiner/step.go
+++ b/internal/broker/coordination/joiner/step.go
@@ -36,7 +36,6 @@
 		}
 	case leaser.Lost:
 		if servers, _ := split(a.Keys); len(servers) > 0 {
-			lostServers.Add(len(servers))
 			j.log.Info("lost servers", "servers", len(servers), "planned", a.Planned)
 			j.handler.OwnershipChanged(nil, servers, a.Planned)
 		}
@@ -67,11 +66,11 @@
 func (j *Joiner) offer(object broker.ConfigObject) {
 	adopted, err := j.adopter.Offer(object)
 	if err != nil {
-		refusedConfigs.Inc()
+		j.counters.refused.Inc()
 		j.log.Error("configuration refused", "revision", object.Revision, "error", err)
 	}
 	if adopted {
-		adoptedConfigs.Inc()
+		j.counters.adopted.Inc()
 		j.log.Info("configuration adopted", "revision", object.Revision)
 		j.tableChanged()
 	}
--- a/internal/broker/coordination/joiner/store.go
+++ b/internal/broker/coordination/joiner/store.go
@@ -44,7 +44,7 @@
 		j.post(func() {
 			t.running, t.cancel = false, nil
 			if err != nil {
-				storeFailures.Inc()
+				j.counters.storeFailures.Inc()
 				t.retry = min(max(2*t.retry, j.settings.RetryMin), j.settings.RetryMax)
 				t.next = j.clock.Now().Add(j.jitter(t.retry/2, t.retry))
 				return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -174,7 +174,7 @@
 	s.adopter = adopter.New(configurator.Parse, holder.New[indexer.Table](nil))
 	seed := uint64(time.Now().UnixNano())
 	s.joiner = joiner.New(joiner.DefaultSettings(s.settings.Cell), self, Clock{}, s.store, s.peers,
-		s.adopter, s, s.logger, seed)
+		s.adopter, s, s.set, s.logger, seed)
 	s.owner = owner.New(owner.DefaultOptions(self.ID), s.dispatcher, s.dispatcher, s.joiner.MayDispatch,
 		s.quarantine, Clock{}, owner.Events{Changed: s.stateChanged, Crashed: s.crashed}, s.set)
 	limits := listener.DefaultLimits()
