--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -119,6 +119,9 @@
 			t.Errorf("answered too late: %s", describe(r))
 		}
 	}
+	if b.Counter("yuccarock_owner_silent_attempts_repeated_total") == 0 {
+		t.Error("no attempt on a silent connection was repeated on a new one")
+	}
 	b.wantWarm(before)
 }
 
