Read peer keys in one place

Cause: the server package had a second reader of the three key files beside the linker's. Conclusion: builds; key rotation is guarded by TestFilesAreReadAgain.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/urfave/cli/v3"
 
+	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 	"github.com/yuccarock/yuccarock/internal/loader"
 	"github.com/yuccarock/yuccarock/internal/server"
 	"github.com/yuccarock/yuccarock/internal/tracer"
@@ -42,7 +43,7 @@
 		return &Error{Op: "start the daemon", Kind: KindInvalid, Err: err}
 	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	credentials, err := server.NewFileCredentials(settings.TLS)
+	credentials, err := linker.NewFiles(settings.TLS.Certificate, settings.TLS.Key, settings.TLS.CA)
 	if err != nil {
 		return err
 	}
--- a/internal/server/error.go
+++ b/internal/server/error.go
@@ -8,7 +8,6 @@
 // Kinds of Error.
 const (
 	KindListen   ErrorKind = "listen"
-	KindKeys     ErrorKind = "keys"
 	KindSettings ErrorKind = "settings"
 	KindDeadline ErrorKind = "deadline"
 )
