Let sub-requests wait while their fingerprint is on trial

Cause: a query in flight at a server that died was answered with 2 of 20 shards. It was cleared on another server, but its next sub-requests reached owners before the report that cleared it, and these refused them. Change: a node holds such a sub-request for 20 ms at a time until the trial has ended or its time is short. TestTrialElsewhere fails without it (notRun).

--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/server"
 	"github.com/yuccarock/yuccarock/internal/standin/testbed"
 	"github.com/yuccarock/yuccarock/pkg/caller"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
@@ -94,6 +95,33 @@
 	return states
 }
 
+// TestTrialElsewhere guards against an innocent request that loses its shards because the report that clears it arrives after
+// its sub-requests: a query in flight at a server that died was answered with 2 of 20 shards.
+func TestTrialElsewhere(t *testing.T) {
+	b := start(t, nil)
+	b.warm()
+	query := testbed.Search(1 << 40)
+	fingerprint := server.FingerprintOf(&broker.Query{Kind: query.Kind, Key: query.Key, Body: query.Body})
+	tell := func(report broker.CrashReport) {
+		report.Fingerprint, report.Server, report.BootID = fingerprint, "elsewhere", "boot"
+		for _, n := range b.Nodes() {
+			n.Server.HandleMessage("elsewhere/1", broker.Message{CrashReport: &report})
+		}
+	}
+	tell(broker.CrashReport{})
+	tell(broker.CrashReport{Trial: true})
+	time.AfterFunc(100*time.Millisecond, func() { tell(broker.CrashReport{Cleared: true}) })
+	once, err := caller.New(b.Entries(), caller.Options{Attempts: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := once.Query(t.Context(), query)
+	if got, want := answer.Status, caller.StatusComplete; err != nil || got != want {
+		t.Errorf("a request that is cleared while its sub-requests wait: got %s, %+v, error %v, want %s",
+			got, answer.Coverage, err, want)
+	}
+}
+
 // TestSilentConnections guards against queries that are lost to connections that went silent for good, and against
 // blaming the servers behind them.
 func TestSilentConnections(t *testing.T) {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 )
@@ -20,6 +21,9 @@
 // reopenInterval is the delay between attempts to open the peer address again under a new incarnation.
 const reopenInterval = 50 * time.Millisecond
 
+// trialCheck is the pause before a sub-request whose fingerprint is on trial is looked at again.
+const trialCheck = 20 * time.Millisecond
+
 var errNoLinker = errors.New("the peer address is being opened again")
 
 // peerSwitch holds the linker of the present incarnation; a new incarnation needs a new one, because peers must
@@ -213,8 +217,22 @@
 	}
 }
 
-// submit gives a sub-request to the owner role of this node, below a span where it is traced.
+// submit gives a sub-request to the owner role of this node. While its fingerprint is on trial it waits: a trial ends soon, and
+// the report that clears a request can arrive after the sub-requests which the entry sends on its strength.
 func (s *Server) submit(sub broker.SubRequest, answered func(broker.SubAnswer)) {
+	waiting := s.quarantine.Standing(sub.Fingerprint, time.Now()) == quarantiner.OnTrial
+	if !waiting || sub.Remaining < 2*trialCheck {
+		s.dispatch(sub, answered)
+		return
+	}
+	time.AfterFunc(trialCheck, func() {
+		sub.Remaining -= trialCheck
+		s.submit(sub, answered)
+	})
+}
+
+// dispatch gives a sub-request to the owner role, below a span where it is traced.
+func (s *Server) dispatch(sub broker.SubRequest, answered func(broker.SubAnswer)) {
 	reply := func(answer broker.SubAnswer) {
 		if answer.Outcome == broker.OutcomeNotRun {
 			s.meters.refusal(answer.Reason)
