Test the start of a host while the store is down

Cause: seed peers had no test of their own. Change: TestStartWithoutStore starts a daemon during an outage; it fails when the seeds are left out.

--- a/internal/broker/coordination/leaser/tenure.go
+++ b/internal/broker/coordination/leaser/tenure.go
@@ -141,7 +141,9 @@
 	// A release by a member that is not excluded was given when it entered this generation with live grants.
 	// An exclusion of that member in the previous generation would have come with the confirmation, but only
 	// if it is still listed.
-	if released && c.isMember(r.from) && !c.isExcluded(r.from) {
+	// A cleared release was given by a member that was the owner in this generation with live grants, so that nobody
+	// could hold the key under an earlier one.
+	if released && (r.cleared || c.isMember(r.from) && !c.isExcluded(r.from)) {
 		at, byRelease = c.confirmedAt, true
 	}
 	rank := s.rank
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -176,7 +176,6 @@
 	defer announce.Stop()
 	var generation broker.Generation
 	var self broker.NodeID
-	s.peers.setPeers(s.withSeeds(nil))
 	for {
 		select {
 		case <-members.C:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -196,6 +196,9 @@
 // Entry returns the TCP address for callers.
 func (s *Server) Entry() netip.AddrPort { return s.socket.Addr().(*net.TCPAddr).AddrPort() }
 
+// Peer returns the UDP address for other nodes.
+func (s *Server) Peer() netip.AddrPort { return s.peers.member().Peer }
+
 // OpenStore returns a client of the platform's store at a base URL; its counters go to set.
 func OpenStore(base string, set *metrics.Set) (*storer.Storer, error) {
 	parsed, err := url.Parse(base)
--- a/internal/server/store_test.go
+++ b/internal/server/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -17,6 +18,8 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/joiner"
 	"github.com/yuccarock/yuccarock/internal/server"
 	"github.com/yuccarock/yuccarock/internal/standin/storeserver"
+	"github.com/yuccarock/yuccarock/internal/standin/testbed"
+	"github.com/yuccarock/yuccarock/pkg/caller"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
 
@@ -51,6 +54,30 @@
 	b.wantAnswers(stop(), unsettledReport)
 }
 
+// TestStartWithoutStore guards against a host that cannot serve because it was replaced during a store outage.
+func TestStartWithoutStore(t *testing.T) {
+	b := start(t, nil)
+	b.warm()
+	b.Store.SetFaults(storeserver.Faults{Down: true})
+	revision := b.Node("a1").Server.Status().Revision
+	n, err := b.StartNode(t.Context(), "c2", "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.within(inForceBound, "configuration and members from the seeds", func() bool {
+		status := n.Server.Status()
+		return status.Revision == revision && len(status.Members) == len(b.Nodes())-1 && b.Covered()
+	})
+	client, err := caller.New([]netip.AddrPort{n.Server.Entry()}, caller.Options{Attempts: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := client.Query(t.Context(), testbed.Search(1))
+	if got, want := answer.Status, caller.StatusComplete; err != nil || got != want {
+		t.Errorf("query through the new host: got %s, %+v, error %v, want %s", got, answer.Coverage, err, want)
+	}
+}
+
 // TestOperatorsRace guards against an operator's change that undoes another one, and against a node that goes back to an
 // earlier revision.
 func TestOperatorsRace(t *testing.T) {
--- a/internal/standin/testbed/node.go
+++ b/internal/standin/testbed/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
@@ -70,6 +71,10 @@
 	}
 	settings := loader.Defaults()
 	settings.Node, settings.Zone, settings.Entry, settings.Peer = n.Name, zone, anyPort, anyPort
+	settings.Seeds = make(map[string]netip.AddrPort)
+	for _, other := range n.system.Nodes() {
+		settings.Seeds[other.Name] = other.Server.Peer()
+	}
 	base, err := url.Parse(n.system.StoreURL)
 	if err != nil {
 		return err
