--- a/internal/broker/coordination/leaser/golden_test.go
+++ b/internal/broker/coordination/leaser/golden_test.go
@@ -99,6 +99,17 @@
 			}
 			s.run(s.now + 5*step)
 		}},
+		// The second planned stop comes before the takeover wait of the first one's generation is over.
+		{name: "leave after a generation change", limit: 200 * time.Millisecond, run: func(s *sim) {
+			ranks := s.ranks()
+			for _, n := range []*simNode{ranks[4], ranks[0]} {
+				s.note("%s leaves", n.self.ID)
+				s.step(n, Leave{})
+				n.leaving, n.nextWrite = true, s.now+step
+				s.run(s.now + step*17/10)
+			}
+			s.run(s.now + 5*step)
+		}},
 	}
 	for i, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
