Compare both users' searches; hedge vestland's earlier

Cause: the shipped settings were never measured against each other. Change: BenchmarkUsers runs each user's search under none, own and the other's settings. vestland's inspector search hedges at the 0.95 quantile in place of 0.98.

--- a/examples/vestland/main.go
+++ b/examples/vestland/main.go
@@ -49,7 +49,7 @@
 func kinds() []*configurator.RequestKindBuilder {
 	return []*configurator.RequestKindBuilder{
 		configurator.NewRequestKind("inspectorSearch", "search", 2*time.Second).Idempotent().MinCoverage(1).
-			Hedge(0.98, 0.05).RetryBudget(0.2).Priority(10).Canary(configurator.CanaryUnseen),
+			Hedge(0.95, 0.05).RetryBudget(0.2).Priority(10).Canary(configurator.CanaryUnseen),
 		configurator.NewRequestKind("volunteerSearch", "search", 2*time.Second).Idempotent().MinCoverage(0.95).
 			Hedge(0.98, 0.02).RetryBudget(0.1).Priority(5).Canary(configurator.CanaryUnseen),
 		// Not idempotent: a report that runs twice sends two crews.
--- a/internal/broker/coordination/scatterer/policy_test.go
+++ b/internal/broker/coordination/scatterer/policy_test.go
@@ -42,6 +42,16 @@
 	{"hedgeBudget", configurator.RequestKind{RetryBudget: 0.1, HedgeQuantile: 0.95, HedgeBudget: modelHedgeBudget}},
 }
 
+// site is the shape of one service of a user.
+type site struct {
+	name     string
+	shards   int
+	hop      time.Duration // one way between an entry and a server
+	deadline time.Duration
+}
+
+var comparison = site{name: "comparison", shards: modelShards, hop: modelHop, deadline: modelDeadline}
+
 // event is one step of the model.
 type event struct {
 	at  time.Duration
@@ -72,6 +82,7 @@
 
 // model is a set of server queues behind real sessions.
 type model struct {
+	site       site
 	events     []event // the next one last
 	now        time.Duration
 	entries    []*fixture
@@ -101,11 +112,11 @@
 }
 
 // runModel puts the same seeded arrivals through a policy; entries do not see each other's attempts.
-func runModel(kind configurator.RequestKind, stragglers, load float64, entries, queries int) result {
-	m := &model{servers: map[broker.ServerName]*modelServer{}, stragglers: stragglers}
+func runModel(at site, kind configurator.RequestKind, stragglers, load float64, entries, queries int) result {
+	m := &model{site: at, servers: map[broker.ServerName]*modelServer{}, stragglers: stragglers}
 	kind.Idempotent, kind.MinCoverage = true, 1
 	for range entries {
-		m.entries = append(m.entries, newFixture(modelShards, 2, kind, configurator.RoutingScatter))
+		m.entries = append(m.entries, newFixture(at.shards, 2, kind, configurator.RoutingScatter))
 	}
 	for name := range m.entries[0].states {
 		m.servers[name] = &modelServer{}
@@ -122,7 +133,7 @@
 	m.runUntil(math.MaxInt64)
 	slices.Sort(m.latencies)
 	quantile := func(q float64) time.Duration { return m.latencies[int(q*float64(len(m.latencies)))] }
-	base := float64(queries * modelShards)
+	base := float64(queries * at.shards)
 	return result{
 		p50: quantile(0.5), p99: quantile(0.99), p999: quantile(0.999),
 		coverage:  m.covered / float64(len(m.latencies)),
@@ -142,7 +153,7 @@
 
 func (m *model) arrive(number int) {
 	q := &modelQuery{number: number, arrived: m.now, jobs: map[broker.Cancel]*job{}}
-	request := Request{Deadline: epoch.Add(m.now + modelDeadline)}
+	request := Request{Deadline: epoch.Add(m.now + m.site.deadline)}
 	request.Query.RequestID = strconv.Itoa(number)
 	q.session = m.entries[number%len(m.entries)].session(uint64(number), request, epoch.Add(m.now))
 	m.act(q, q.session.Start(epoch.Add(m.now)))
@@ -154,11 +165,11 @@
 		j := &job{query: q, sub: sub, server: m.servers[sub.Server]}
 		q.jobs[broker.Cancel{RequestID: sub.RequestID, Shard: sub.Shard, Attempt: sub.Attempt}] = j
 		m.sent++
-		m.after(modelHop, func() { m.admit(j) })
+		m.after(m.site.hop, func() { m.admit(j) })
 	}
 	for _, cancel := range actions.Cancels {
 		j := q.jobs[*cancel.Cancel]
-		m.after(modelHop, func() { m.withdraw(j) })
+		m.after(m.site.hop, func() { m.withdraw(j) })
 	}
 	if !actions.WakeAt.IsZero() {
 		m.after(actions.WakeAt.Sub(epoch.Add(m.now)), func() { m.act(q, q.session.Wake(epoch.Add(m.now))) })
@@ -187,7 +198,7 @@
 // serve runs a job; its service time depends only on the query, the shard and the attempt.
 func (m *model) serve(j *job) {
 	shard, _ := strconv.Atoi(string(j.sub.Shard[1:]))
-	random := rand.New(rand.NewPCG(uint64(j.query.number*modelShards+shard), uint64(j.sub.Attempt)))
+	random := rand.New(rand.NewPCG(uint64(j.query.number*m.site.shards+shard), uint64(j.sub.Attempt)))
 	service := time.Duration(float64(modelMedian) * math.Exp(modelSigma*random.NormFloat64()))
 	if random.Float64() < m.stragglers {
 		service = modelSlowdown * modelMedian
@@ -223,7 +234,7 @@
 }
 
 func (m *model) reply(j *job, answer broker.SubAnswer) {
-	m.after(modelHop, func() { m.act(j.query, j.query.session.Answer(epoch.Add(m.now), &answer)) })
+	m.after(m.site.hop, func() { m.act(j.query, j.query.session.Answer(epoch.Add(m.now), &answer)) })
 }
 
 // runPolicy runs the model under one of the policies.
@@ -232,7 +243,7 @@
 	if policies[i].name == "noStragglers" {
 		stragglers = 0
 	}
-	return runModel(policies[i].kind, stragglers, load, entries, queries)
+	return runModel(comparison, policies[i].kind, stragglers, load, entries, queries)
 }
 
 // TestPolicyComparison guards the target of the design page: with 1% stragglers at 60% load, hedging within a
@@ -265,14 +276,61 @@
 				for b.Loop() {
 					got = runPolicy(i, load, entries, queries)
 				}
-				b.ReportMetric(0, "ns/op")
-				b.ReportMetric(float64(got.p50)/1e6, "p50-ms")
-				b.ReportMetric(float64(got.p99)/1e6, "p99-ms")
-				b.ReportMetric(float64(got.p999)/1e6, "p99.9-ms")
-				b.ReportMetric(got.coverage, "coverage")
-				b.ReportMetric(100*got.extraSent, "extra-%")
+				got.report(b)
 				b.ReportMetric(100*(float64(got.busy)/float64(base.busy)-1), "extraBusy-%")
 			})
 		}
 	}
 }
+
+func (r *result) report(b *testing.B) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(r.p50)/1e6, "p50-ms")
+	b.ReportMetric(float64(r.p99)/1e6, "p99-ms")
+	b.ReportMetric(float64(r.p999)/1e6, "p99.9-ms")
+	b.ReportMetric(100*r.coverage, "coverage-%")
+	b.ReportMetric(100*r.extraSent, "extra-%")
+}
+
+// BenchmarkUsers puts the search of each user under its shipped settings, with and without hedges and retries, and
+// under the other user's settings.
+func BenchmarkUsers(b *testing.B) {
+	const queries, entries, stragglers = 20000, 6, 0.01
+	users := []struct {
+		site site
+		kind configurator.RequestKind
+	}{
+		{
+			site{name: "vestland", shards: 20, hop: 1500 * time.Microsecond, deadline: 2 * time.Second},
+			configurator.RequestKind{RetryBudget: 0.2, HedgeQuantile: 0.95, HedgeBudget: 0.05},
+		},
+		{
+			site{name: "kvarner", shards: 20, hop: time.Millisecond, deadline: 200 * time.Millisecond},
+			configurator.RequestKind{RetryBudget: 0.05, HedgeQuantile: 0.95, HedgeBudget: 0.05},
+		},
+	}
+	for i, user := range users {
+		other := users[1-i]
+		swapped := user.site
+		swapped.deadline = other.site.deadline
+		for _, load := range []float64{modelLoad, 0.85} {
+			for _, run := range []struct {
+				name string
+				site site
+				kind configurator.RequestKind
+			}{
+				{"none", user.site, configurator.RequestKind{}},
+				{"own", user.site, user.kind},
+				{other.site.name, swapped, other.kind},
+			} {
+				b.Run(fmt.Sprintf("%s/load=%.2f/settings=%s", user.site.name, load, run.name), func(b *testing.B) {
+					var got result
+					for b.Loop() {
+						got = runModel(run.site, run.kind, stragglers, load, entries, queries)
+					}
+					got.report(b)
+				})
+			}
+		}
+	}
+}
