--- /dev/null
+++ b/cmd/host.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccarock/yuccarock/internal/forwarder"
+	"github.com/yuccarock/yuccarock/internal/logger"
+	"github.com/yuccarock/yuccarock/internal/tracer"
+	"github.com/yuccarock/yuccarock/platform"
+)
+
+// NewHost returns the command that runs an entry host on the users' platform.
+func NewHost() *cli.Command {
+	return &cli.Command{
+		Name:  "host",
+		Usage: "run an entry host on the users' platform",
+		Description: "Reads the platform's settings file, follows configuration and backend servers in the platform's store\n" +
+			"and passes callers' requests on. SIGTERM or SIGINT starts a planned stop; a second signal ends it at once.\n\n" +
+			"Example: yuccarock host --metrics-port 9464",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the platform's JSON settings `FILE`", Required: true,
+				Sources: cli.EnvVars(platform.SettingsVariable)},
+			&cli.Uint16Flag{Name: "metrics-port", Usage: "TCP `PORT` of /metrics on this host's address, 0 for none"},
+			&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the log: debug, info, warn or error", Value: "info"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			var level slog.Level
+			if err := level.UnmarshalText([]byte(command.String("log-level"))); err != nil {
+				return usage("--log-level: %v", err)
+			}
+			settings, err := platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
+			if err != nil {
+				return &Error{Op: "start the host", Kind: KindInvalid, Err: err}
+			}
+			return runHost(ctx, settings, level)
+		},
+	}
+}
+
+func runHost(ctx context.Context, settings platform.Settings, level slog.Level) error {
+	set := metrics.NewSet()
+	log := logger.New(os.Stdout, level, set)
+	defer log.Close()
+	lines := log.With("node", settings.Node)
+	store := platform.NewStore(settings.Store, nil)
+	host := forwarder.New(forwarder.Dependencies{
+		Settings: settings.Settings, Sources: platform.NewSources(store, set, lines), Codec: platform.Codec{},
+		Directory: platform.NewDirectory, Probe: platform.NewProbe(), Tracer: tracer.Disabled(), Metrics: set, Logger: lines,
+	})
+	stop, force, release := stopSignals(ctx)
+	defer release()
+	return host.Run(stop, force)
+}
--- a/internal/broker/coordination/budgeter/budgeter.go
+++ b/internal/broker/coordination/budgeter/budgeter.go
@@ -24,6 +24,27 @@
 	tokens atomic.Int64
 	limit  atomic.Int64 // most tokens to save, by the fan-out of the last query
 	burst  int64
+	fixed  bool // saves no more than the burst, however large queries are
+}
+
+// NewFixedBudget returns a budget that never saves more than burst tokens. It starts with half of them, because a host
+// that restarts often must not have the whole slack each time.
+func NewFixedBudget(share float64, burst int) *Budget {
+	b := NewBudget(share, burst)
+	b.fixed = true
+	b.tokens.Store(b.burst / 2)
+	return b
+}
+
+// setBurst changes what a fixed budget may save.
+func (b *Budget) setBurst(burst int) {
+	b.limit.Store(int64(burst) * token)
+	for {
+		current := b.tokens.Load()
+		if current <= b.limit.Load() || b.tokens.CompareAndSwap(current, b.limit.Load()) {
+			return
+		}
+	}
 }
 
 // NewBudget returns a full budget that earns share tokens per request and saves at most burst tokens.
@@ -47,9 +68,12 @@
 	if earned == 0 {
 		return
 	}
-	limit := max(b.burst, savedQueries*earned)
-	if b.limit.Load() != limit {
-		b.limit.Store(limit)
+	limit := b.limit.Load()
+	if !b.fixed {
+		limit = max(b.burst, savedQueries*earned)
+		if b.limit.Load() != limit {
+			b.limit.Store(limit)
+		}
 	}
 	for {
 		current := b.tokens.Load()
--- /dev/null
+++ b/internal/broker/coordination/budgeter/shards.go
@@ -0,0 +1,47 @@
+package budgeter
+
+import (
+	"sync"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// Shards holds one budget for each shard, whatever the request kind, as hosts have to keep the sum of all further
+// attempts at a service within a share of its requests and a slack.
+type Shards struct {
+	share float64
+
+	mu      sync.Mutex
+	burst   int
+	budgets map[broker.ShardName]*Budget
+}
+
+// NewShards returns budgets that earn share tokens per request and save at most burst tokens each.
+func NewShards(share float64, burst int) *Shards {
+	return &Shards{share: share, burst: burst, budgets: map[broker.ShardName]*Budget{}}
+}
+
+// SetBurst changes how many tokens each budget may save, as when the number of hosts that share the slack changes.
+func (s *Shards) SetBurst(burst int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if burst == s.burst {
+		return
+	}
+	s.burst = burst
+	for _, budget := range s.budgets {
+		budget.setBurst(burst)
+	}
+}
+
+// Shard returns the budget of a shard.
+func (s *Shards) Shard(name broker.ShardName) *Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	budget := s.budgets[name]
+	if budget == nil {
+		budget = NewFixedBudget(s.share, s.burst)
+		s.budgets[name] = budget
+	}
+	return budget
+}
--- /dev/null
+++ b/internal/broker/coordination/collator/collator.go
@@ -0,0 +1,33 @@
+package collator
+
+import (
+	"bytes"
+	"slices"
+)
+
+// RecordSize is the size of one record in bytes; what is left over at the end of a part is no record.
+const RecordSize = 16
+
+// Top returns the greatest limit records of all parts, the greatest first; equal records all count.
+func Top(parts [][]byte, limit int) []byte {
+	total := 0
+	for _, part := range parts {
+		total += len(part) / RecordSize
+	}
+	records := make([][]byte, 0, total)
+	for _, part := range parts {
+		for len(part) >= RecordSize {
+			records = append(records, part[:RecordSize])
+			part = part[RecordSize:]
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if len(records) > limit {
+		records = records[:max(limit, 0)]
+	}
+	merged := make([]byte, 0, len(records)*RecordSize)
+	for _, record := range records {
+		merged = append(merged, record...)
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/broker/coordination/collator/doc.go
@@ -0,0 +1,2 @@
+// Package collator merges parts of fixed-size records by their byte order.
+package collator
--- /dev/null
+++ b/internal/broker/coordination/follower/follower.go
@@ -0,0 +1,204 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+const (
+	// listTimeout bounds one reading of a collection; the store answers in milliseconds, and one that is slow takes
+	// hundreds of them.
+	listTimeout = 3 * time.Second
+	// watchSlack is how much longer than its wait a watch may take before its connection counts as silent.
+	watchSlack = time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call. A host has to be up to date again within the
+	// few seconds that configurations may take, counted from the store's return.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 700 * time.Millisecond
+)
+
+// Options are the settings of a follower.
+type Options struct {
+	// Wait is the longest wait of one watch.
+	Wait time.Duration
+	// Pause is the least time between two watches, so that many changes in a row cost few calls.
+	Pause time.Duration
+}
+
+// Update is a new state of a collection; its map must not be changed.
+type Update[T any] struct {
+	Items map[string]broker.Item[T]
+	At    uint64
+	// Listed is whether the state was read as a whole, so that changes before it may have gone unseen.
+	Listed bool
+	// Removed are the names that the update no longer has.
+	Removed []string
+}
+
+// Follower follows one collection.
+type Follower[T any] struct {
+	name    string
+	source  broker.Source[T]
+	apply   func(Update[T])
+	options Options
+	logger  *slog.Logger
+
+	items map[string]broker.Item[T]
+	at    uint64
+	known bool // a state has been applied
+	lost  bool // the last call failed
+
+	calls, failures, updates *metrics.Counter
+}
+
+// New returns a follower of source that calls apply with each state, one at a time.
+func New[T any](
+	name string, source broker.Source[T], apply func(Update[T]), options Options, set *metrics.Set, logger *slog.Logger,
+) *Follower[T] {
+	counter := func(what string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("yuccarock_collection_%s_total{collection=%q}", what, name))
+	}
+	return &Follower[T]{
+		name: name, source: source, apply: apply, options: options, logger: logger.With("collection", name),
+		calls: counter("calls"), failures: counter("failures"), updates: counter("updates"),
+	}
+}
+
+// Run follows the collection until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = minBackoff, maxBackoff
+	listed := false
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.step(ctx, &listed)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, broker.ErrHistoryGone) {
+			f.logger.Info("history of the collection is gone; reading it again", "at", f.at)
+			listed, err = false, nil
+		}
+		wait := f.options.Pause - time.Since(started)
+		if err != nil {
+			f.fail(err)
+			wait = pause.NextBackOff()
+		} else {
+			f.recover()
+			pause.Reset()
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// step makes one call: a reading of the whole collection, or a watch once it has been read.
+func (f *Follower[T]) step(ctx context.Context, listed *bool) error {
+	f.calls.Inc()
+	if !*listed {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		items, at, err := f.source.List(callCtx)
+		if err != nil {
+			return err
+		}
+		*listed = true
+		f.replace(items, at)
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
+	defer cancel()
+	changes, at, err := f.source.Watch(callCtx, f.at, f.options.Wait)
+	if err != nil {
+		return err
+	}
+	f.change(changes, at)
+	return nil
+}
+
+// replace takes a whole reading; one that is older than what is known is ignored.
+func (f *Follower[T]) replace(items []broker.Item[T], at uint64) {
+	if f.known && at < f.at {
+		f.logger.Warn("ignored a reading older than what is known", "at", at, "known", f.at)
+		return
+	}
+	next := make(map[string]broker.Item[T], len(items))
+	for _, item := range items {
+		next[item.Name] = item
+	}
+	var removed []string
+	for name := range f.items {
+		if _, ok := next[name]; !ok {
+			removed = append(removed, name)
+		}
+	}
+	f.publish(next, at, true, removed)
+}
+
+// change takes the events of a watch; an event older than the known state of its object is ignored.
+func (f *Follower[T]) change(changes []broker.Change[T], at uint64) {
+	if len(changes) == 0 {
+		f.at = max(f.at, at)
+		return
+	}
+	next := maps.Clone(f.items)
+	if next == nil {
+		next = make(map[string]broker.Item[T])
+	}
+	var removed []string
+	for _, change := range changes {
+		held, ok := next[change.Name]
+		switch {
+		case change.Revision != 0 && ok && change.Revision < held.Revision:
+		case change.Deleted:
+			delete(next, change.Name)
+			if ok {
+				removed = append(removed, change.Name)
+			}
+		default:
+			next[change.Name] = change.Item
+		}
+	}
+	f.publish(next, max(f.at, at), false, removed)
+}
+
+func (f *Follower[T]) publish(items map[string]broker.Item[T], at uint64, listed bool, removed []string) {
+	f.items, f.at, f.known = items, at, true
+	f.updates.Inc()
+	f.apply(Update[T]{Items: items, At: at, Listed: listed, Removed: removed})
+}
+
+func (f *Follower[T]) fail(err error) {
+	f.failures.Inc()
+	if !f.lost {
+		f.lost = true
+		f.logger.Warn("lost the store", "at", f.at, "error", err)
+	}
+}
+
+func (f *Follower[T]) recover() {
+	if f.lost {
+		f.lost = false
+		f.logger.Info("regained the store", "at", f.at)
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/broker/coordination/prober/prober.go
@@ -0,0 +1,166 @@
+package prober
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/looplab/fsm"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// States of a host.
+const (
+	StateNew     = "new"     // has stated itself, not asked yet
+	StateReady   = "ready"   // takes requests
+	StateUnready = "unready" // runs and takes no requests
+	StateSuspect = "suspect" // missed one answer
+	StateDown    = "down"    // missed several answers
+)
+
+const (
+	eventAnswer = "answer"
+	eventRefuse = "refuse"
+	eventMiss   = "miss"
+)
+
+const (
+	// DefaultInterval is the time between two questions to a host; a host that dies has left the answers to callers
+	// after two of them and the timeout.
+	DefaultInterval = time.Second
+	// DefaultTimeout is how long a host may take to answer.
+	DefaultTimeout = 700 * time.Millisecond
+)
+
+// Check asks a host whether it takes requests; an error means that it did not answer.
+type Check func(ctx context.Context, host broker.HostRecord) (ready bool, err error)
+
+// Options are the settings of a prober.
+type Options struct {
+	Self     string
+	Interval time.Duration
+	Timeout  time.Duration
+}
+
+// Prober asks the other hosts in turn.
+type Prober struct {
+	check   Check
+	options Options
+	logger  *slog.Logger
+	misses  *metrics.Counter
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host is what is known of one host.
+type host struct {
+	record  broker.HostRecord
+	machine *fsm.FSM
+}
+
+// New returns a prober without hosts.
+func New(check Check, options Options, set *metrics.Set, logger *slog.Logger) *Prober {
+	return &Prober{
+		check: check, options: options, logger: logger,
+		misses: set.GetOrCreateCounter("yuccarock_host_probes_missed_total"),
+		hosts:  map[string]*host{},
+	}
+}
+
+// SetHosts takes the hosts that have stated themselves; what is known of a host ends with its process.
+func (p *Prober) SetHosts(records map[string]broker.HostRecord) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*host, len(records))
+	for name, record := range records {
+		if name == p.options.Self {
+			continue
+		}
+		held := p.hosts[name]
+		if held == nil || held.record.Process != record.Process {
+			held = &host{machine: p.newMachine(name)}
+		}
+		held.record = record
+		next[name] = held
+	}
+	p.hosts = next
+}
+
+func (p *Prober) newMachine(name string) *fsm.FSM {
+	return fsm.NewFSM(StateNew, fsm.Events{
+		{Name: eventAnswer, Src: []string{StateNew, StateReady, StateUnready, StateSuspect, StateDown}, Dst: StateReady},
+		{Name: eventRefuse, Src: []string{StateNew, StateReady, StateUnready, StateSuspect, StateDown}, Dst: StateUnready},
+		{Name: eventMiss, Src: []string{StateNew, StateReady, StateUnready}, Dst: StateSuspect},
+		{Name: eventMiss, Src: []string{StateSuspect, StateDown}, Dst: StateDown},
+	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
+		p.logger.Info("host changed its state", "host", name, "from", e.Src, "to", e.Dst)
+	}})
+}
+
+// Usable returns the other hosts that callers may be sent to.
+func (p *Prober) Usable() []broker.HostRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := make([]broker.HostRecord, 0, len(p.hosts))
+	for _, held := range p.hosts {
+		switch held.machine.Current() {
+		case StateNew, StateReady, StateSuspect:
+			usable = append(usable, held.record)
+		}
+	}
+	return usable
+}
+
+// Run asks all hosts once in each interval until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	ticker := time.NewTicker(p.options.Interval)
+	defer ticker.Stop()
+	for {
+		p.Ask(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ask asks all hosts once and returns when all have answered or their time is over.
+func (p *Prober) Ask(ctx context.Context) {
+	p.mu.Lock()
+	asked := make([]*host, 0, len(p.hosts))
+	for _, held := range p.hosts {
+		asked = append(asked, held)
+	}
+	p.mu.Unlock()
+	var waiting sync.WaitGroup
+	for _, held := range asked {
+		waiting.Go(func() { p.ask(ctx, held) })
+	}
+	waiting.Wait()
+}
+
+func (p *Prober) ask(ctx context.Context, held *host) {
+	callCtx, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	ready, err := p.check(callCtx, held.record)
+	if ctx.Err() != nil {
+		return
+	}
+	event := eventRefuse
+	switch {
+	case err != nil:
+		event = eventMiss
+		p.misses.Inc()
+	case ready:
+		event = eventAnswer
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A state that stays is reported as an error by the library and needs no action.
+	_ = held.machine.Event(ctx, event)
+}
--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -36,6 +36,16 @@
 	return s.leave()
 }
 
+// AnswerOpaque takes the answer to an attempt of an opaque request with what the backend server sent.
+func (s *Session) AnswerOpaque(now time.Time, answer *broker.SubAnswer, opaque *broker.OpaqueAnswer) Actions {
+	s.opaque = opaque
+	defer func() { s.opaque = nil }()
+	return s.Answer(now, answer)
+}
+
+// Parts returns the answers to an opaque request that were used, in the order of their arrival.
+func (s *Session) Parts() []*broker.OpaqueAnswer { return s.parts }
+
 // match returns the attempt in flight that an answer belongs to.
 func (s *Session) match(answer *broker.SubAnswer) (i, slot int, ok bool) {
 	drop := func(reason Drop) (int, int, bool) {
@@ -84,6 +94,9 @@
 	}
 	s.cancel(sh)
 	s.merged.add(sh.tracked.Name, hits)
+	if s.opaque != nil {
+		s.parts = append(s.parts, s.opaque)
+	}
 	sh.state = shardAnswered
 	s.answered++
 	s.open--
@@ -94,6 +107,7 @@
 	} else if s.canary == i {
 		s.release()
 	}
+	s.stopIfEnough()
 }
 
 // end takes an attempt out of flight.
@@ -139,6 +153,7 @@
 	switch {
 	case outcome == broker.OutcomeNotRun:
 		s.notRun++
+		sh.attempts[slot].notRun = true
 		sh.attempts[slot].moved = moved(reason)
 		sh.refused = sh.refused || reason == broker.ReasonSnapshotMissing
 	case crashed:
@@ -188,7 +203,7 @@
 // retry sends another attempt at a shard if the outcome, the replicas and the budget allow it.
 func (s *Session) retry(i int, outcome broker.Outcome, reason broker.Reason) bool {
 	sh := &s.shards[i]
-	if sh.used == maxAttempts || !s.retryable(i, outcome, reason) {
+	if s.spent(sh) || !s.retryable(i, outcome, reason) {
 		return false
 	}
 	chosen, none := s.choose(sh)
@@ -198,7 +213,7 @@
 	// The budget limits extra load on backend servers; a refusal by a node never reached one, and a planned handover
 	// refuses a share of all attempts for a moment.
 	free := outcome == broker.OutcomeNotRun && moved(reason)
-	if !free && !s.budgets.Retries.Spend() {
+	if !free && !s.payRetry(sh) {
 		s.stats.RetriesDenied++
 		return false
 	}
@@ -210,11 +225,18 @@
 	return true
 }
 
+func (s *Session) payRetry(sh *shard) bool {
+	if budget := s.budget(sh); budget != nil {
+		return budget.Spend()
+	}
+	return s.budgets.Retries.Spend()
+}
+
 // awaitOwner lets a shard look again soon where all its replicas were refused by nodes, as in the moment between the
 // release of a server and the announcement of its next owner.
 func (s *Session) awaitOwner(i int, outcome broker.Outcome, reason broker.Reason) bool {
 	sh := &s.shards[i]
-	if outcome != broker.OutcomeNotRun || !moved(reason) || sh.used == maxAttempts || s.suspect ||
+	if s.strategy.Direct || outcome != broker.OutcomeNotRun || !moved(reason) || sh.used == maxAttempts || s.suspect ||
 		s.now >= s.deadline/2 {
 		return false
 	}
@@ -257,7 +279,8 @@
 	case broker.OutcomeUnknown:
 		return s.kind.Idempotent
 	case broker.OutcomeFailed:
-		return s.kind.Idempotent && (reason == broker.ReasonMismatch || reason == broker.ReasonCrashed)
+		return s.kind.Idempotent &&
+			(s.strategy.Direct || reason == broker.ReasonMismatch || reason == broker.ReasonCrashed)
 	default:
 		return false
 	}
--- a/internal/broker/coordination/scatterer/choice.go
+++ b/internal/broker/coordination/scatterer/choice.go
@@ -52,6 +52,9 @@
 
 // choose returns the replica for the next attempt at a shard, or else the reason why there is none.
 func (s *Session) choose(sh *shard) (candidate, broker.Reason) {
+	if s.strategy.Direct {
+		return s.chooseDirect(sh)
+	}
 	var warm, cold sample
 	reason := broker.ReasonNoReplica
 	for _, replica := range sh.tracked.Replicas {
--- a/internal/broker/coordination/scatterer/finish.go
+++ b/internal/broker/coordination/scatterer/finish.go
@@ -62,6 +62,7 @@
 	s.run++
 	s.open = len(s.shards)
 	s.answered, s.lost, s.canary = 0, 0, -1
+	s.parts = nil
 	s.merged.reset()
 	s.stats.Reruns++
 	s.launch()
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -68,7 +68,7 @@
 
 // earn adds base load to the budgets; a second run is no base load.
 func (s *Session) earn(requests int) {
-	if s.run == 0 {
+	if s.run == 0 && s.strategy.Budgets == nil {
 		s.budgets.Hedges.Earn(requests)
 		s.budgets.Retries.Earn(requests)
 	}
@@ -131,6 +131,9 @@
 	case broker.ReasonNone:
 		sh.state = shardOpen
 		s.send(i, chosen, false)
+		if budget := s.budget(sh); budget != nil {
+			budget.Earn(1)
+		}
 	case broker.ReasonCold:
 		sh.waiting = true
 		sh.reason = reason
@@ -174,7 +177,7 @@
 	})
 	s.actions.Sends = append(s.actions.Sends, Send{Owner: to.state.Owner, Sub: &s.subs[len(s.subs)-1]})
 	if s.mayHedge(sh) {
-		s.armHedge(i, s.delay(sh, s.kind.HedgeQuantile))
+		s.armHedge(i, s.hedgeDelay(sh))
 	}
 }
 
@@ -206,15 +209,15 @@
 // hedge sends a second attempt to another replica; one that the budget denies is due again soon.
 func (s *Session) hedge(i int) {
 	sh := &s.shards[i]
-	if s.suspect || sh.used == maxAttempts {
+	if s.suspect || s.spent(sh) {
 		return
 	}
 	chosen, reason := s.choose(sh)
 	if reason != broker.ReasonNone {
 		return
 	}
-	delay := s.delay(sh, s.kind.HedgeQuantile)
-	if !s.payHedge(s.now-sh.attempts[sh.first()].sent, delay) {
+	delay := s.hedgeDelay(sh)
+	if !s.payHedge(sh, s.now-sh.attempts[sh.first()].sent, delay) {
 		s.stats.HedgesDenied++
 		s.armHedge(i, delay/hedgeRecheckShare)
 		return
@@ -222,14 +225,17 @@
 	sh.hedged = true
 	s.stats.Hedges++
 	s.send(i, chosen, true)
-	if chosen.state.Phase == broker.PhaseWarm {
+	if chosen.state.Phase == broker.PhaseWarm && !s.strategy.Direct {
 		s.push(delay, i, timerSupersede)
 	}
 }
 
 // payHedge spends a token on the hedge of an attempt of some age. An attempt just past the quantile is probably
 // not a straggler and may use only what the budget does not keep for older ones.
-func (s *Session) payHedge(age, delay time.Duration) bool {
+func (s *Session) payHedge(sh *shard, age, delay time.Duration) bool {
+	if budget := s.budget(sh); budget != nil {
+		return budget.Spend()
+	}
 	if age < delay+delay/2 {
 		return s.budgets.Hedges.SpendSpare()
 	}
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -29,6 +29,8 @@
 	View    *tracker.View
 	Budgets *budgeter.Kind
 	Random  *rand.Rand
+	// Strategy is for hosts that send to backend servers themselves.
+	Strategy Strategy
 }
 
 // Request is one query with what the entry knows of it.
@@ -50,6 +52,11 @@
 	random  *rand.Rand
 	request Request
 
+	strategy Strategy
+	late     bool                 // the latency target has passed
+	opaque   *broker.OpaqueAnswer // of the answer that is being taken
+	parts    []*broker.OpaqueAnswer
+
 	started  time.Time
 	deadline time.Duration // since started, as all durations below
 	armed    time.Duration // next call of Wake that was asked for
@@ -96,6 +103,7 @@
 		kind:     kind,
 		budgets:  deps.Budgets,
 		random:   deps.Random,
+		strategy: deps.Strategy,
 		request:  request,
 		started:  now,
 		deadline: request.Deadline.Sub(now),
@@ -153,6 +161,9 @@
 		return s.actions
 	}
 	s.snapshot = s.pin(0).Snapshot
+	if s.strategy.Target > 0 {
+		s.push(s.strategy.Target, 0, timerTarget)
+	}
 	s.launch()
 	return s.leave()
 }
@@ -255,7 +266,7 @@
 		return sh.state == shardOpen && sh.moving
 	case timerSupersede:
 		return sh.state == shardOpen && sh.live > 1
-	case timerLaunch:
+	case timerLaunch, timerTarget:
 		return true
 	default:
 		return s.canary >= 0
@@ -274,6 +285,8 @@
 		s.supersede(int(due.shard))
 	case timerLaunch:
 		s.launch()
+	case timerTarget:
+		s.targetReached()
 	default:
 		s.release()
 	}
--- a/internal/broker/coordination/scatterer/shard.go
+++ b/internal/broker/coordination/scatterer/shard.go
@@ -25,6 +25,7 @@
 	sent   time.Duration // since the start of the session
 	state  attemptState
 	hedge  bool
+	notRun bool // it certainly did not run
 	moved  bool // refused by a node that does not own or reach the server, so that another owner may be asked
 }
 
--- /dev/null
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -0,0 +1,135 @@
+package scatterer
+
+import (
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/budgeter"
+	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
+)
+
+const (
+	// hedgeShare of the latency target is the longest delay of a hedge: the second server needs the rest.
+	hedgeShare = 0.4
+	// unknownShare of the latency target is the delay of a hedge while the shard's latency is not known.
+	unknownShare = 0.25
+	// remoteCost is added to the expected time of a server in another availability zone. Traffic between zones is
+	// priced, and the way there and back takes a few milliseconds.
+	remoteCost = 8 * time.Millisecond
+	// spread is the share by which expected times vary at random, so that hosts do not all choose the same server.
+	spread = 0.2
+)
+
+// Strategy is how a host sends to backend servers itself. The zero value leaves the choice of a server to what owners
+// announce of their load.
+type Strategy struct {
+	// Direct is whether this host sends to the servers itself and sees their answers.
+	Direct bool
+	// Zone is the availability zone of this host.
+	Zone string
+	// Target is the time after the start at which an answer that reaches the least coverage is given, zero for none.
+	Target time.Duration
+	// Attempts is the most servers that one shard's request may run on, zero for the limit of the package.
+	Attempts int
+	// Budgets pay for further attempts by shard, in place of those of the request kind.
+	Budgets *budgeter.Shards
+}
+
+// budget returns what pays for further attempts at a shard, or nil where the kind's budgets do.
+func (s *Session) budget(sh *shard) *budgeter.Budget {
+	if s.strategy.Budgets == nil {
+		return nil
+	}
+	return s.strategy.Budgets.Shard(sh.tracked.Name)
+}
+
+// spent returns whether a shard has had all the attempts that it may have. Attempts that certainly did not run do not
+// count towards the limit of the strategy.
+func (s *Session) spent(sh *shard) bool {
+	if sh.used == maxAttempts {
+		return true
+	}
+	limit := s.strategy.Attempts
+	if limit == 0 {
+		return false
+	}
+	ran := 0
+	for i := range sh.attempts[:sh.used] {
+		if !sh.attempts[i].notRun {
+			ran++
+		}
+	}
+	return ran >= limit
+}
+
+// hedgeDelay returns when a hedge is due after the first attempt.
+func (s *Session) hedgeDelay(sh *shard) time.Duration {
+	target := s.strategy.Target
+	if target == 0 {
+		return s.delay(sh, s.kind.HedgeQuantile)
+	}
+	known := sh.tracked.Latency.Quantile(s.kind.HedgeQuantile)
+	if known == 0 {
+		return time.Duration(float64(target) * unknownShare)
+	}
+	return min(known, time.Duration(float64(target)*hedgeShare))
+}
+
+// targetReached gives the answer at the latency target if it reaches the least coverage; otherwise the query goes on
+// until it does.
+func (s *Session) targetReached() {
+	s.late = true
+	s.stopIfEnough()
+}
+
+func (s *Session) stopIfEnough() {
+	if s.late && s.answered > 0 && s.answered >= s.needed() {
+		s.stop(broker.ReasonDeadline)
+	}
+}
+
+// chooseDirect returns the replica from which an answer is expected first.
+func (s *Session) chooseDirect(sh *shard) (candidate, broker.Reason) {
+	now := s.started.Add(s.now)
+	var best candidate
+	var least time.Duration
+	var cold []candidate
+	reason := broker.ReasonNoReplica
+	for _, replica := range sh.tracked.Replicas {
+		state := replica.State()
+		if refused := s.unfit(replica, state); refused != broker.ReasonNone {
+			reason = clearest(reason, refused)
+			continue
+		}
+		if sh.tried(replica.Server, state.Owner) {
+			continue
+		}
+		found := candidate{server: replica.Server, state: state}
+		if replica.Limited(now) {
+			cold = append(cold, found)
+			continue
+		}
+		if cost := s.cost(replica, state, now); best.server == nil || cost < least {
+			best, least = found, cost
+		}
+	}
+	if best.server != nil {
+		return best, broker.ReasonNone
+	}
+	for _, found := range cold {
+		if found.server.TakeCold(now) {
+			return found, broker.ReasonNone
+		}
+		reason = clearest(reason, broker.ReasonCold)
+	}
+	return candidate{}, reason
+}
+
+func (s *Session) cost(replica tracker.Replica, state *broker.ServerState, now time.Time) time.Duration {
+	expected := replica.Expected(now, state.Limit)
+	expected += time.Duration(float64(expected) * spread * s.random.Float64())
+	if s.view.Table.Server(replica.Name).Zone != s.strategy.Zone {
+		expected += remoteCost
+	}
+	return expected
+}
--- a/internal/broker/coordination/scatterer/timers.go
+++ b/internal/broker/coordination/scatterer/timers.go
@@ -11,6 +11,7 @@
 	timerLaunch                     // no shard took the canary, look again
 	timerRelease                    // the canary has had its time
 	timerOwner                      // the shard's servers may have a new owner now
+	timerTarget                     // the latency target has passed
 )
 
 // timer is due at a time since the start of the session.
--- a/internal/broker/outcome.go
+++ b/internal/broker/outcome.go
@@ -52,6 +52,9 @@
 	ReasonUnreachable     Reason = "unreachable"
 	ReasonSilent          Reason = "silent"
 	ReasonCrashed         Reason = "crashed"
+	ReasonLost            Reason = "connectionLost"
+	ReasonMoved           Reason = "addressMoved" // another server has the address now
+	ReasonNotReady        Reason = "notReady"     // the node does not know a configuration yet
 	ReasonBackendError    Reason = "backendError"
 	ReasonNoReplica       Reason = "noReplica"
 	ReasonBudget          Reason = "retryBudget"
--- /dev/null
+++ b/internal/broker/route.go
@@ -0,0 +1,101 @@
+package broker
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Route says where opaque requests of a host and path prefix go and how they may be treated.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	// Idempotent permits a second attempt after one that may have run.
+	Idempotent bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// LatencyTarget is the time within which an answer is worth most.
+	LatencyTarget time.Duration
+	// MaxAttempts is the most servers of one service that a request may run on; zero means one.
+	MaxAttempts int
+	Priority    int // zero is the most urgent
+	// Targets are the services that share the requests by weight; it is empty for a scatter.
+	Targets []Target
+	// Shards are the services that all receive a scattered request; it is empty otherwise.
+	Shards []string
+	// TopRecords is how many records the answer to a scatter has at most.
+	TopRecords int
+	// MinCoverage is the least share of shards with which a scatter succeeds, 0 to 1.
+	MinCoverage float64
+}
+
+// Scatter returns whether requests go to all shards of the route.
+func (r *Route) Scatter() bool { return len(r.Shards) > 0 }
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// ServicePolicy is what the configuration says of the backend servers of a service.
+type ServicePolicy struct {
+	HealthPath string
+	// MaxConnections is the most connections that one server accepts from all hosts together.
+	MaxConnections int
+	// WarmupTime is how long a server stays cold after its start.
+	WarmupTime time.Duration
+	// WarmupRate is the requests a second that a cold server bears from all hosts together; zero means no limit.
+	WarmupRate float64
+}
+
+// RequestLimits bound what a caller may send and how long it may take.
+type RequestLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one version of the routes and services that operators configured.
+type Catalog struct {
+	Version  Revision
+	Routes   []Route
+	Services map[string]ServicePolicy
+	Limits   RequestLimits
+}
+
+// Registration is what a backend server states of itself in the platform's store.
+type Registration struct {
+	ID      string // names the instance in requests to it
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	Slots   int
+	// Draining is whether the server asks for no new work.
+	Draining bool
+	// WarmupLeft is how long the server stays cold, counted from the moment of the statement.
+	WarmupLeft time.Duration
+	// Born is the start of the server's process on its own clock; two starts under one ID differ in it.
+	Born time.Time
+}
+
+// Name returns the name of the server's present process.
+func (r *Registration) Name() ServerName {
+	if r.Born.IsZero() {
+		return ServerName(r.ID)
+	}
+	return ServerName(r.ID + "@" + r.Born.UTC().Format("150405.000"))
+}
+
+// HostRecord is what an entry host states of itself to the other hosts through the platform's store.
+type HostRecord struct {
+	Name      string         `json:"name"`
+	Zone      string         `json:"zone"`
+	Entry     netip.AddrPort `json:"entry"`     // where callers connect
+	Readiness netip.AddrPort `json:"readiness"` // where other hosts ask whether it takes requests
+	// Capacity is the host's share of a processor core.
+	Capacity float64 `json:"capacity"`
+	// Process differs between two starts of the host.
+	Process string `json:"process"`
+}
--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -31,6 +31,8 @@
 	latency     atomic.Int64 // moving average in nanoseconds, zero before the first observation
 
 	owners []record // guarded by the tracker's lock
+
+	standing standing // of the exchanges that this host makes itself
 }
 
 func newServer(name broker.ServerName) *Server {
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -29,6 +29,9 @@
 	writer *bufio.Writer
 	reused bool // carried a request before, or was opened ahead of need
 
+	idleFor   time.Duration // how long the server keeps it open while idle, zero for unknown
+	idleSince time.Time
+
 	permit    func() bool
 	written   int
 	read      int
@@ -100,6 +103,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if c.idleFor > 0 && time.Since(c.idleSince) >= c.idleFor {
+		return false
+	}
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -24,9 +24,11 @@
 type exchange struct {
 	method  string
 	path    string
+	head    []byte // whole head of a prepared request, in place of path and trace
 	payload []byte
 	trace   string
 	permit  func() bool
+	trust   func(*reply) bool // whether the connection may be used again after an answer; nil trusts all
 
 	sent   bool // a byte of the request may have left
 	reused bool // the last connection had carried another request or was opened ahead of need
@@ -35,6 +37,7 @@
 // reply is a whole HTTP answer.
 type reply struct {
 	status int
+	header http.Header
 	body   []byte
 }
 
@@ -66,16 +69,16 @@
 
 // transfer writes the request and reads its whole answer; keep is whether the connection can carry another one.
 func (d *Dispatcher) transfer(ctx context.Context, c *conn, e *exchange) (answer *reply, keep bool, err error) {
-	if err := e.write(ctx, c); err != nil {
-		return nil, false, classify(ctx, c, "send request", err)
-	}
-	if err := c.writer.Flush(); err != nil {
+	written, err := e.send(ctx, c)
+	if err != nil {
 		return nil, false, classify(ctx, c, "send request", err)
 	}
-	if err := d.awaitFirstByte(ctx, c); err != nil {
-		return nil, false, err
+	if e.head == nil {
+		if err := d.awaitFirstByte(ctx, c); err != nil {
+			return nil, false, err
+		}
 	}
-	response, err := readResponse(c)
+	response, err := readResponse(c, e.method)
 	if err != nil {
 		return nil, false, classify(ctx, c, "read answer", err)
 	}
@@ -90,7 +93,40 @@
 	if len(body) > d.options.AnswerBytes {
 		return nil, false, &Error{Op: "read answer", Kind: KindTooLarge}
 	}
-	return &reply{status: response.StatusCode, body: body}, !response.Close, nil
+	keep = !response.Close
+	select {
+	case err := <-written:
+		keep = keep && err == nil
+	default:
+		keep = false // the server answered before it had read the request
+	}
+	answer = &reply{status: response.StatusCode, header: response.Header, body: body}
+	if e.head != nil {
+		c.idleFor = idleTimeout(response)
+		keep = keep && (e.trust == nil || e.trust(answer))
+	}
+	return answer, keep, nil
+}
+
+// send writes the request; the channel tells when all of it has been written.
+func (e *exchange) send(ctx context.Context, c *conn) (<-chan error, error) {
+	written := make(chan error, 1)
+	if e.head == nil || len(e.payload) < largeBody {
+		if err := e.write(ctx, c); err != nil {
+			return nil, err
+		}
+		written <- nil
+		return written, c.writer.Flush()
+	}
+	e.sent = true
+	go func() {
+		err := e.write(ctx, c)
+		if err == nil {
+			err = c.writer.Flush()
+		}
+		written <- err
+	}()
+	return written, nil
 }
 
 // headerLine keeps a value on the line of its header, as net/http does.
@@ -99,6 +135,13 @@
 // write puts the request into the writer of a connection, with the bytes that net/http would send. Without an
 // http.Request and with readBody, an exchange takes 18 allocations of 77 less.
 func (e *exchange) write(ctx context.Context, c *conn) error {
+	if e.head != nil {
+		if _, err := c.writer.Write(e.head); err != nil {
+			return err
+		}
+		_, err := c.writer.Write(e.payload)
+		return err
+	}
 	head := make([]byte, 0, headSize)
 	head = append(head, e.method...)
 	head = append(head, ' ')
@@ -153,9 +196,10 @@
 }
 
 // readResponse reads the header of the final response, skipping informational ones.
-func readResponse(c *conn) (*http.Response, error) {
+func readResponse(c *conn, method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
 	for {
-		response, err := http.ReadResponse(c.reader, nil)
+		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -149,7 +149,7 @@
 		p.discard(c)
 		return
 	}
-	c.reused = true
+	c.reused, c.idleSince = true, time.Now()
 	p.idle = append(p.idle, c)
 	p.wake()
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/forwarder/budget.go
@@ -0,0 +1,20 @@
+package forwarder
+
+const (
+	// budgetMargin is the part of the allowed further attempts that hosts use. The rest covers windows in which requests
+	// of one host earn what another has spent.
+	budgetMargin = 0.85
+	// assumedHosts divides the slack while the other hosts are not known yet.
+	assumedHosts = 8
+)
+
+// retryShare returns the further attempts that each request earns.
+func retryShare(settings Settings) float64 { return settings.RetryShare * budgetMargin }
+
+// retryBurst returns this host's part of the slack.
+func retryBurst(settings Settings, hosts int) int {
+	if hosts == 0 {
+		hosts = assumedHosts
+	}
+	return max(1, int(float64(settings.RetrySlack)*budgetMargin)/hosts)
+}
--- /dev/null
+++ b/internal/forwarder/entry.go
@@ -0,0 +1,147 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
+	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/broker/state/router"
+)
+
+const (
+	// answerMargin is kept back from the caller's patience for the way of the answer.
+	answerMargin = 15 * time.Millisecond
+	// defaultPatience stands in where neither caller nor route limit the time.
+	defaultPatience = 30 * time.Second
+	// defaultBody bounds bodies while no configuration is known.
+	defaultBody = 1 << 20
+	// startRetry asks callers to come back once a host that has just started may know the configuration, serverRetry
+	// once a server may have room or may have been registered, and leavingRetry at once, at another host.
+	startRetry   = 300 * time.Millisecond
+	serverRetry  = 100 * time.Millisecond
+	leavingRetry = 10 * time.Millisecond
+)
+
+// serveCaller answers one request of a caller.
+func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	if !f.drainer.Begin() {
+		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
+		return
+	}
+	defer f.drainer.End()
+	view := f.registrar.View()
+	if view == nil {
+		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: startRetry})
+		return
+	}
+	request, failure := f.read(w, r, view)
+	if failure != nil {
+		f.refuse(w, r, *failure)
+		return
+	}
+	entry := view.Routes.Match(request.Host, request.Path)
+	if entry == nil {
+		f.refuse(w, r, broker.Failure{Kind: broker.FailureNoRoute})
+		return
+	}
+	kind, ok := kindOf(entry)
+	if !ok {
+		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNoReplica, RetryAfter: serverRetry})
+		return
+	}
+	ctx, span := f.tracer.Start(r.Context(), "entry.request", attribute.String("route", entry.Name))
+	defer span.End()
+	run := &run{
+		forwarder: f, view: view, route: entry.Route, kind: kind, request: request,
+		started: started, deadline: started.Add(patience(request, entry.Route)),
+	}
+	run.answer(ctx, w)
+	span.SetAttributes(attribute.String("result", run.result))
+}
+
+// kindOf returns the request kind of the next request of a route.
+func kindOf(entry *router.Entry) (string, bool) {
+	if entry.Scatter() {
+		return registrar.KindName(entry.Name, ""), true
+	}
+	target := entry.Next()
+	if target == nil {
+		return "", false
+	}
+	return registrar.KindName(entry.Name, target.Service), true
+}
+
+// patience returns how long the request may take here.
+func patience(request *broker.OpaqueRequest, route *broker.Route) time.Duration {
+	limit := defaultPatience
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	if request.Patience > 0 {
+		limit = min(limit, request.Patience)
+	}
+	return max(limit-answerMargin, limit/2)
+}
+
+// read takes the request with its whole body, which may have to be sent more than once.
+func (f *Forwarder) read(
+	w http.ResponseWriter, r *http.Request, view *registrar.View,
+) (*broker.OpaqueRequest, *broker.Failure) {
+	request, err := f.codec.Decode(r)
+	if err != nil {
+		return nil, &broker.Failure{Kind: broker.FailureMalformed}
+	}
+	if r.ContentLength == 0 {
+		return request, nil
+	}
+	limit := view.Catalog.Limits.BodyBytes
+	if limit == 0 {
+		limit = defaultBody
+	}
+	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return request, nil
+	}
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, &broker.Failure{Kind: broker.FailureTooLarge}
+	}
+	return nil, &broker.Failure{Kind: broker.FailureMalformed}
+}
+
+// refuse answers a request of which nothing was sent to a backend server.
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, failure broker.Failure) {
+	f.meters.request("", string(failure.Reason), 0)
+	if skipped, ok := f.slow.Allow(time.Now()); ok {
+		f.logger.Info("request refused", "host", r.Host, "path", r.URL.Path, "kind", failure.Kind, "reason", failure.Reason,
+			"skippedLines", skipped)
+	}
+	f.codec.WriteError(w, failure)
+}
+
+// Ready returns nil while this host takes requests.
+func (f *Forwarder) Ready() error {
+	if state := f.drainer.State(); state != drainer.StateServing {
+		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("the host is " + state)}
+	}
+	if f.registrar.View() == nil {
+		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("no configuration is in force")}
+	}
+	return nil
+}
+
+func (f *Forwarder) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if err := f.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *Forwarder) serveMetrics(w http.ResponseWriter, _ *http.Request) { f.set.WritePrometheus(w) }
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,308 @@
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/budgeter"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
+	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
+	"github.com/yuccarock/yuccarock/internal/logger"
+	"github.com/yuccarock/yuccarock/internal/tracer"
+)
+
+const (
+	// timeToLive is how long callers keep a resolve answer; some keep it three times as long.
+	timeToLive = time.Second
+	// staleCallers is how many times its time to live some callers keep a resolve answer.
+	staleCallers = 3
+	// finishTime is kept back from the stop deadline for requests in progress.
+	finishTime = 2500 * time.Millisecond
+	// expireInterval is the pause between looks for servers whose entries did not come back.
+	expireInterval = 500 * time.Millisecond
+	// watchWait is the longest wait of one watch. Keep-alive probes find a connection that has gone silent earlier.
+	watchWait = 25 * time.Second
+	// watchPause bounds the calls while many changes come in a row.
+	watchPause = 50 * time.Millisecond
+	// recordPause is the pause between attempts to state this host in the store.
+	recordPause = 500 * time.Millisecond
+	// headerTimeout and idleTimeout are above what the configurations of today allow a caller.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// Sources are the collections of the platform's store.
+type Sources struct {
+	Catalogs broker.Source[*broker.Catalog] // the newest configuration is the only item
+	Servers  broker.Source[broker.Registration]
+	Leaving  broker.Source[struct{}] // named by availability zone
+	Hosts    broker.Collection[broker.HostRecord]
+}
+
+// Dependencies are what a host is built from.
+type Dependencies struct {
+	Settings Settings
+	Sources  Sources
+	Codec    broker.Codec
+	// Directory makes the handler of questions which hosts to use.
+	Directory func(resolve Resolve) http.Handler
+	// Probe asks another host whether it takes requests.
+	Probe   prober.Check
+	Tracer  *tracer.Tracer
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+	// Dial opens connections to backend servers; nil uses the operating system's.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Forwarder is one entry host.
+type Forwarder struct {
+	settings  Settings
+	sources   Sources
+	codec     broker.Codec
+	directory func(resolve Resolve) http.Handler
+	tracer    *tracer.Tracer
+	set       *metrics.Set
+	meters    *meters
+	logger    *slog.Logger
+	slow      *logger.Limiter // lines of requests that did not go as planned
+
+	drainer    *drainer.Drainer
+	tracker    *tracker.Tracker
+	registrar  *registrar.Registrar
+	dispatcher *dispatcher.Dispatcher
+	budgets    *budgeter.Shards
+	prober     *prober.Prober
+	tasks      sync.WaitGroup
+}
+
+// New builds a host; Run opens its sockets and serves.
+func New(deps Dependencies) *Forwarder {
+	f := &Forwarder{
+		settings: deps.Settings, sources: deps.Sources, codec: deps.Codec, directory: deps.Directory,
+		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
+		slow:    logger.NewLimiter(requestLines, requestLineBurst),
+		tracker: tracker.New(),
+	}
+	f.drainer = drainer.New(func(from, to string) {
+		f.logger.Info("node state changed", "from", from, "to", to)
+	})
+	options := dispatcher.DefaultOptions()
+	options.Dial = deps.Dial
+	f.dispatcher = dispatcher.New(options, f.set)
+	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
+	f.budgets = budgeter.NewShards(retryShare(deps.Settings), retryBurst(deps.Settings, 0))
+	f.prober = prober.New(deps.Probe, prober.Options{
+		Self: deps.Settings.Node, Interval: prober.DefaultInterval, Timeout: prober.DefaultTimeout,
+	}, f.set, f.logger)
+	return f
+}
+
+// Run serves until ctx ends and then stops in the planned way; the end of force stops at once.
+func (f *Forwarder) Run(ctx, force context.Context) error {
+	entry, err := listen(f.settings.Entry)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: http.HandlerFunc(f.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	f.follow(work)
+	closeSide, err := f.serveSide()
+	if err != nil {
+		return err
+	}
+	defer closeSide()
+	f.tasks.Go(func() {
+		if err := server.Serve(entry); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			f.logger.Error("could not serve callers", "error", err)
+		}
+	})
+	if err := f.drainer.Serve(); err != nil {
+		return errors.WithStack(err)
+	}
+	f.logger.Info("serving", "entry", f.settings.Entry, "zone", f.settings.Zone)
+	select {
+	case <-ctx.Done():
+	case <-force.Done():
+	}
+	err = f.stop(force, server)
+	stopWork()
+	f.tasks.Wait()
+	f.logger.Info("stopped", "error", err)
+	return err
+}
+
+// stop leaves the resolve answers, serves callers that still have this host's address, and finishes what is in progress.
+func (f *Forwarder) stop(force context.Context, server *http.Server) error {
+	if err := f.drainer.Leave(); err != nil {
+		return errors.WithStack(err)
+	}
+	ctx, cancel := context.WithTimeout(force, f.settings.StopDeadline)
+	defer cancel()
+	wait(ctx, min(staleCallers*timeToLive, f.settings.StopDeadline-finishTime))
+	server.SetKeepAlivesEnabled(false)
+	err := server.Shutdown(ctx)
+	f.drainer.Refuse()
+	if err != nil {
+		_ = server.Close()
+		return &Error{Op: "stop without cutting off requests", Kind: KindDeadline, Err: err}
+	}
+	return f.drainer.Wait(ctx)
+}
+
+// serveSide serves readiness, directory and metrics, each on an address of its own.
+func (f *Forwarder) serveSide() (closeAll func(), err error) {
+	sides := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{f.settings.Readiness, http.HandlerFunc(f.serveReadiness)},
+		{f.settings.Directory, f.directory(f.Resolve)},
+		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
+	}
+	var servers []*http.Server
+	closeAll = func() {
+		for _, server := range servers {
+			_ = server.Close()
+		}
+	}
+	for _, side := range sides {
+		if !side.address.IsValid() {
+			continue
+		}
+		socket, err := listen(side.address)
+		if err != nil {
+			closeAll()
+			return nil, err
+		}
+		server := &http.Server{
+			Handler: side.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
+		}
+		servers = append(servers, server)
+		f.tasks.Go(func() {
+			if err := server.Serve(socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				f.logger.Error("could not serve", "address", side.address, "error", err)
+			}
+		})
+	}
+	return closeAll, nil
+}
+
+// follow starts the followers of the store and the work that depends on them.
+func (f *Forwarder) follow(ctx context.Context) {
+	options := follower.Options{Wait: watchWait, Pause: watchPause}
+	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, options, f.set, f.logger)
+	servers := follower.New("servers", f.sources.Servers, f.register, options, f.set, f.logger)
+	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, options, f.set, f.logger)
+	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, options, f.set, f.logger)
+	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.prober.Run, f.expire,
+		f.announce} {
+		f.tasks.Go(func() { run(ctx) })
+	}
+}
+
+// announce puts this host into the store, so that the others can find it.
+func (f *Forwarder) announce(ctx context.Context) {
+	record := broker.HostRecord{
+		Name: f.settings.Node, Zone: f.settings.Zone, Entry: f.settings.Entry, Readiness: f.settings.Readiness,
+		Capacity: f.settings.Capacity, Process: uuid.NewString(),
+	}
+	for ctx.Err() == nil {
+		err := f.sources.Hosts.Put(ctx, f.settings.Node, record)
+		if err == nil {
+			f.logger.Info("stated this host in the store", "process", record.Process)
+			return
+		}
+		f.logger.Warn("could not state this host in the store", "error", err)
+		wait(ctx, recordPause)
+	}
+}
+
+func (f *Forwarder) adoptCatalog(update follower.Update[*broker.Catalog]) {
+	for _, item := range update.Items {
+		if f.registrar.Adopt(item.Value) {
+			f.logger.Info("configuration in force", "version", item.Value.Version, "revision", item.Revision,
+				"routes", len(item.Value.Routes), "services", len(item.Value.Services))
+		}
+	}
+}
+
+func (f *Forwarder) register(update follower.Update[broker.Registration]) {
+	servers := make(map[string]broker.Registration, len(update.Items))
+	for name, item := range update.Items {
+		servers[name] = item.Value
+	}
+	f.registrar.Register(servers, update.Listed, time.Now())
+	f.logger.Info("registered servers changed", "at", update.At, "servers", len(servers), "removed", update.Removed,
+		"listed", update.Listed)
+}
+
+func (f *Forwarder) leaveZones(update follower.Update[struct{}]) {
+	var zones []string
+	for name := range update.Items {
+		zones = append(zones, name)
+	}
+	f.registrar.Leave(zones)
+	f.logger.Info("zones to leave changed", "at", update.At, "zones", zones)
+}
+
+func (f *Forwarder) learnHosts(update follower.Update[broker.HostRecord]) {
+	hosts := make(map[string]broker.HostRecord, len(update.Items))
+	for name, item := range update.Items {
+		hosts[name] = item.Value
+	}
+	f.prober.SetHosts(hosts)
+	f.registrar.Divide(len(hosts))
+	f.budgets.SetBurst(retryBurst(f.settings, len(hosts)))
+}
+
+// expire drops servers whose entries did not come back after an outage of the store.
+func (f *Forwarder) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := expireInterval
+		if next := f.registrar.Expire(time.Now()); !next.IsZero() {
+			pause = min(pause, time.Until(next))
+		}
+		wait(ctx, max(pause, time.Millisecond))
+	}
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	socket, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Op: "open " + address.String(), Kind: KindListen, Err: err}
+	}
+	return socket, nil
+}
+
+func wait(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/forwarder/meters.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
+)
+
+// meters are the counters of requests.
+type meters struct {
+	set                                                *metrics.Set
+	sent, hedges, hedgesDenied, retries, retriesDenied *metrics.Counter
+	parts, missing, callersGone, resolve               *metrics.Counter
+}
+
+func newMeters(set *metrics.Set) *meters {
+	counter := func(name string) *metrics.Counter { return set.GetOrCreateCounter("yuccarock_" + name + "_total") }
+	return &meters{
+		set: set, sent: counter("attempts"), hedges: counter("hedges"), hedgesDenied: counter("hedges_denied"),
+		retries: counter("retries"), retriesDenied: counter("retries_denied"), parts: counter("parts"),
+		missing: counter("parts_missing"), callersGone: counter("callers_gone"), resolve: counter("resolves"),
+	}
+}
+
+// session adds the counts of one request.
+func (m *meters) session(stats *scatterer.Stats) {
+	m.sent.Add(stats.Sent)
+	m.hedges.Add(stats.Hedges)
+	m.hedgesDenied.Add(stats.HedgesDenied)
+	m.retries.Add(stats.Retries)
+	m.retriesDenied.Add(stats.RetriesDenied)
+}
+
+// request records how one request ended.
+func (m *meters) request(route, result string, elapsed time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_requests_total{route=%q,result=%q}", route, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("yuccarock_request_seconds{route=%q}", route)).Update(elapsed.Seconds())
+}
--- /dev/null
+++ b/internal/forwarder/settings.go
@@ -0,0 +1,28 @@
+package forwarder
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are the settings of one host.
+type Settings struct {
+	Node  string
+	Zone  string
+	Zones []string // all availability zones
+	// Entry is the TCP address for callers, Readiness the one for questions whether this host takes requests, Directory
+	// the one for questions which hosts to use, and Metrics the one of /metrics; an invalid address is not served.
+	Entry     netip.AddrPort
+	Readiness netip.AddrPort
+	Directory netip.AddrPort
+	Metrics   netip.AddrPort
+	// Capacity is the host's share of a processor core.
+	Capacity float64
+	// StopDeadline is the longest time of a planned stop.
+	StopDeadline time.Duration
+	// RetryShare of the requests for a service, and RetrySlack in each RetryWindow, is what all hosts together may send
+	// beyond the first attempt of each request.
+	RetryShare  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+}
