Find a dropped history of the store within the configuration's bound

Change: beside the long watch, a follower of the configuration makes cheap stale watches of 1 s; one that finds the history gone makes all followers read their collections again.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,6 +25,8 @@
 	// few seconds that configurations may take, counted from the store's return.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
+	// watchLead is how long the watch has to report a change that a glance has seen.
+	watchLead = 300 * time.Millisecond
 )
 
 // Options are the settings of a follower.
@@ -32,6 +35,11 @@
 	Wait time.Duration
 	// Pause is the least time between two watches, so that many changes in a row cost few calls.
 	Pause time.Duration
+	// Glance is the wait of one cheap look beside the watch, zero for none. A watch hears nothing of a history that is
+	// dropped while it waits.
+	Glance time.Duration
+	// HistoryGone is called where the history of the store was found to be gone, which concerns all its collections.
+	HistoryGone func()
 }
 
 // Update is a new state of a collection; its map must not be changed.
@@ -57,7 +65,10 @@
 	known bool // a state has been applied
 	lost  bool // the last call failed
 
-	calls, failures, updates *metrics.Counter
+	seen    atomic.Uint64 // at, for the glances
+	refresh chan struct{} // asks for a reading of the whole collection
+
+	calls, glances, failures, updates *metrics.Counter
 }
 
 // New returns a follower of source that calls apply with each state, one at a time.
@@ -69,12 +80,24 @@
 	}
 	return &Follower[T]{
 		name: name, source: source, apply: apply, options: options, logger: logger.With("collection", name),
-		calls: counter("calls"), failures: counter("failures"), updates: counter("updates"),
+		refresh: make(chan struct{}, 1),
+		calls:   counter("calls"), glances: counter("glances"), failures: counter("failures"), updates: counter("updates"),
+	}
+}
+
+// Refresh asks for a reading of the whole collection in place of the watch that waits.
+func (f *Follower[T]) Refresh() {
+	select {
+	case f.refresh <- struct{}{}:
+	default:
 	}
 }
 
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
+	if f.options.Glance > 0 {
+		go f.glance(ctx)
+	}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = minBackoff, maxBackoff
 	listed := false
@@ -85,8 +108,8 @@
 			return
 		}
 		if errors.Is(err, broker.ErrHistoryGone) {
-			f.logger.Info("history of the collection is gone; reading it again", "at", f.at)
 			listed, err = false, nil
+			f.gone()
 		}
 		wait := f.options.Pause - time.Since(started)
 		if err != nil {
@@ -116,7 +139,20 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
 	defer cancel()
+	var refreshed atomic.Bool
+	go func() {
+		select {
+		case <-f.refresh:
+			refreshed.Store(true)
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
 	changes, at, err := f.source.Watch(callCtx, f.at, f.options.Wait)
+	if refreshed.Load() {
+		*listed = false
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -124,6 +160,44 @@
 	return nil
 }
 
+// gone tells the other followers of the store that its history is gone.
+func (f *Follower[T]) gone() {
+	f.logger.Info("history of the collection is gone; reading it again", "at", f.seen.Load())
+	if f.options.HistoryGone != nil {
+		f.options.HistoryGone()
+	}
+}
+
+// glance looks at the collection beside the watch until ctx ends.
+func (f *Follower[T]) glance(ctx context.Context) {
+	for ctx.Err() == nil {
+		at := f.seen.Load()
+		if at == 0 {
+			sleep(ctx, minBackoff)
+			continue
+		}
+		f.glances.Inc()
+		callCtx, cancel := context.WithTimeout(ctx, f.options.Glance+watchSlack)
+		changed, err := f.source.Glance(callCtx, at, f.options.Glance)
+		cancel()
+		switch {
+		case errors.Is(err, broker.ErrHistoryGone):
+			f.gone()
+			sleep(ctx, f.options.Glance)
+		case err != nil:
+			sleep(ctx, maxBackoff)
+		case changed:
+			// The watch normally hears of a change at the same time.
+			sleep(ctx, watchLead)
+			if f.seen.Load() == at {
+				f.logger.Info("the watch missed a change; reading the collection again", "at", at)
+				f.Refresh()
+				sleep(ctx, f.options.Glance)
+			}
+		}
+	}
+}
+
 // replace takes a whole reading; one that is older than what is known is ignored.
 func (f *Follower[T]) replace(items []broker.Item[T], at uint64) {
 	if f.known && at < f.at {
@@ -147,6 +221,7 @@
 func (f *Follower[T]) change(changes []broker.Change[T], at uint64) {
 	if len(changes) == 0 {
 		f.at = max(f.at, at)
+		f.seen.Store(f.at)
 		return
 	}
 	next := maps.Clone(f.items)
@@ -172,6 +247,7 @@
 
 func (f *Follower[T]) publish(items map[string]broker.Item[T], at uint64, listed bool, removed []string) {
 	f.items, f.at, f.known = items, at, true
+	f.seen.Store(at)
 	f.updates.Inc()
 	f.apply(Update[T]{Items: items, At: at, Listed: listed, Removed: removed})
 }
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -33,6 +33,9 @@
 	List(ctx context.Context) (items []Item[T], at uint64, err error)
 	// Watch returns the changes after a revision as soon as there are any, or none after wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], at uint64, err error)
+	// Glance is a watch that costs little and may miss changes for seconds; it returns only whether there were any. It
+	// fails like Watch where the history is gone.
+	Glance(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error)
 }
 
 // Collection is a source whose objects the hosts write themselves.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,8 +36,13 @@
 	expireInterval = 500 * time.Millisecond
 	// watchWait is the longest wait of one watch. Keep-alive probes find a connection that has gone silent earlier.
 	watchWait = 25 * time.Second
-	// watchPause bounds the calls while many changes come in a row.
-	watchPause = 50 * time.Millisecond
+	// watchPause bounds the calls while many changes of the configuration come in a row, and serversPause while many
+	// servers register; a draining server has to be left within 3 s.
+	watchPause   = 50 * time.Millisecond
+	serversPause = 400 * time.Millisecond
+	// glanceWait is the wait of one cheap look at the configuration. A dropped history has to be found, and the
+	// configuration read again, within the 3 s in which it has to be in force.
+	glanceWait = time.Second
 	// recordPause is the pause between attempts to state this host in the store.
 	recordPause = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are above what the configurations of today allow a caller.
@@ -210,11 +215,19 @@
 
 // follow starts the followers of the store and the work that depends on them.
 func (f *Forwarder) follow(ctx context.Context) {
-	options := follower.Options{Wait: watchWait, Pause: watchPause}
-	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, options, f.set, f.logger)
-	servers := follower.New("servers", f.sources.Servers, f.register, options, f.set, f.logger)
-	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, options, f.set, f.logger)
-	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, options, f.set, f.logger)
+	var refresh []func()
+	historyGone := func() {
+		for _, each := range refresh {
+			each()
+		}
+	}
+	fast := follower.Options{Wait: watchWait, Pause: watchPause, Glance: glanceWait, HistoryGone: historyGone}
+	slow := follower.Options{Wait: watchWait, Pause: serversPause, HistoryGone: historyGone}
+	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, fast, f.set, f.logger)
+	servers := follower.New("servers", f.sources.Servers, f.register, slow, f.set, f.logger)
+	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, slow, f.set, f.logger)
+	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, slow, f.set, f.logger)
+	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.prober.Run, f.expire,
 		f.announce} {
 		f.tasks.Go(func() { run(ctx) })
