Leave moved addresses at once, and stop without closing idle connections

Change: a server that answers for another instance gets nothing more while it is registered with that address. A planned stop answers with Connection: close, waits until callers have left and 0.5 s were quiet, and then closes.

--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -104,6 +104,10 @@
 		if sh.tried(replica.Server, state.Owner) {
 			continue
 		}
+		if replica.Gone(s.view.Table.Server(replica.Name).Address) {
+			reason = clearest(reason, broker.ReasonUnreachable)
+			continue
+		}
 		found := candidate{server: replica.Server, state: state}
 		if replica.Limited(now) {
 			cold = append(cold, found)
--- a/internal/broker/state/tracker/standing.go
+++ b/internal/broker/state/tracker/standing.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	errors     float64 // moving average of failures, 0 to 1
 	failures   int     // in a row
 	avoidUntil time.Time
+	movedFrom  netip.AddrPort // address at which another server answered
 
 	coldUntil time.Time
 	coldRate  float64 // requests a second from this host while cold, zero for no limit
@@ -118,13 +120,19 @@
 	s.standing.remove(sent)
 }
 
-// Avoid keeps requests away from the server for a while, where others can take them.
-func (s *Server) Avoid(until time.Time) {
+// Moved records that another server answered at the server's address.
+func (s *Server) Moved(address netip.AddrPort) {
 	s.standing.mu.Lock()
 	defer s.standing.mu.Unlock()
-	if until.After(s.standing.avoidUntil) {
-		s.standing.avoidUntil = until
-	}
+	s.standing.movedFrom = address
+}
+
+// Gone returns whether another server answered at the address that the server is still registered with. Requests sent
+// there would count as load of that other server.
+func (s *Server) Gone(address netip.AddrPort) bool {
+	s.standing.mu.Lock()
+	defer s.standing.mu.Unlock()
+	return s.standing.movedFrom == address
 }
 
 // InFlight returns the exchanges of this host that the server has not ended.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -31,6 +31,10 @@
 // serveCaller answers one request of a caller.
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	f.lastRequest.Store(int64(started.Sub(f.epoch)))
+	if f.drainer.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if !f.drainer.Begin() {
 		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
 		return
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,7 +32,9 @@
 	// staleCallers is how many times its time to live some callers keep a resolve answer.
 	staleCallers = 3
 	// finishTime is kept back from the stop deadline for requests in progress.
-	finishTime = 2500 * time.Millisecond
+	finishTime = 1500 * time.Millisecond
+	// quietTime without a request shows that callers have left this host.
+	quietTime = 500 * time.Millisecond
 	// expireInterval is the pause between looks for servers whose entries did not come back.
 	expireInterval = 500 * time.Millisecond
 	// watchWait is the longest wait of one watch. Keep-alive probes find a connection that has gone silent earlier.
@@ -94,6 +97,9 @@
 	budgets    *budgeter.Shards
 	prober     *prober.Prober
 	tasks      sync.WaitGroup
+
+	epoch       time.Time
+	lastRequest atomic.Int64 // nanoseconds after epoch at which a caller's request arrived
 }
 
 // New builds a host; Run opens its sockets and serves.
@@ -102,7 +108,7 @@
 		settings: deps.Settings, sources: deps.Sources, codec: deps.Codec, directory: deps.Directory,
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		slow:    logger.NewLimiter(requestLines, requestLineBurst),
-		tracker: tracker.New(),
+		tracker: tracker.New(), epoch: time.Now(),
 	}
 	f.drainer = drainer.New(func(from, to string) {
 		f.logger.Info("node state changed", "from", from, "to", to)
@@ -135,13 +141,13 @@
 	if err != nil {
 		return err
 	}
-	defer closeSide()
 	f.tasks.Go(func() {
 		if err := server.Serve(entry); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			f.logger.Error("could not serve callers", "error", err)
 		}
 	})
 	if err := f.drainer.Serve(); err != nil {
+		closeSide()
 		return errors.WithStack(err)
 	}
 	f.logger.Info("serving", "entry", f.settings.Entry, "zone", f.settings.Zone)
@@ -149,29 +155,46 @@
 	case <-ctx.Done():
 	case <-force.Done():
 	}
-	err = f.stop(force, server)
+	err = f.stop(force, server, entry)
 	stopWork()
+	closeSide()
 	f.tasks.Wait()
 	f.logger.Info("stopped", "error", err)
 	return err
 }
 
 // stop leaves the resolve answers, serves callers that still have this host's address, and finishes what is in progress.
-func (f *Forwarder) stop(force context.Context, server *http.Server) error {
+func (f *Forwarder) stop(force context.Context, server *http.Server, entry net.Listener) error {
 	if err := f.drainer.Leave(); err != nil {
 		return errors.WithStack(err)
 	}
 	ctx, cancel := context.WithTimeout(force, f.settings.StopDeadline)
 	defer cancel()
-	wait(ctx, min(staleCallers*timeToLive, f.settings.StopDeadline-finishTime))
-	server.SetKeepAlivesEnabled(false)
-	err := server.Shutdown(ctx)
+	f.awaitQuiet(ctx)
+	_ = entry.Close()
 	f.drainer.Refuse()
+	err := f.drainer.Wait(ctx)
+	// The last answers have been given to the operating system by now. Closing idle connections any earlier would cut off
+	// requests that are on their way on them.
+	_ = server.Close()
 	if err != nil {
-		_ = server.Close()
 		return &Error{Op: "stop without cutting off requests", Kind: KindDeadline, Err: err}
 	}
-	return f.drainer.Wait(ctx)
+	return nil
+}
+
+// awaitQuiet returns once callers have had the time to learn of other hosts and none has sent a request for a while. The
+// server is not shut down meanwhile: that closes idle connections on which a request may just have arrived.
+func (f *Forwarder) awaitQuiet(ctx context.Context) {
+	wait(ctx, min(staleCallers*timeToLive, f.settings.StopDeadline-finishTime))
+	last := time.Now().Add(f.settings.StopDeadline - finishTime)
+	for time.Now().Before(last) && ctx.Err() == nil {
+		quiet := time.Since(f.epoch) - time.Duration(f.lastRequest.Load())
+		if f.drainer.Active() == 0 && quiet >= quietTime {
+			return
+		}
+		wait(ctx, max(quietTime-quiet, quietTime/10))
+	}
 }
 
 // serveSide serves readiness, directory and metrics, each on an address of its own.
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -22,8 +22,6 @@
 	drainTime = 250 * time.Millisecond
 	// goneTime is the same after the caller has left; servers should stop working for it soon.
 	goneTime = 100 * time.Millisecond
-	// movedTime is how long a server is avoided whose address now belongs to another one.
-	movedTime = 10 * time.Second
 	// targetMargin is kept back from the latency target for the way of the answer to the caller, but no more than
 	// targetMarginShare of the target.
 	targetMargin      = 12 * time.Millisecond
@@ -209,7 +207,7 @@
 	}
 	ended.answer.Outcome, ended.answer.Reason = verdict.Outcome, verdict.Reason
 	if verdict.Reason == broker.ReasonMoved {
-		server.Avoid(now.Add(movedTime))
+		server.Moved(instance.Address)
 	}
 	server.Settled(sent, now, verdict.Outcome != broker.OutcomeAnswered)
 	return ended
