--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -40,9 +40,8 @@
 
 // Options are the settings of a prober.
 type Options struct {
-	Self     string
-	Interval time.Duration
-	Timeout  time.Duration
+	Self    string
+	Timeout time.Duration
 }
 
 // Prober asks the other hosts in turn.
@@ -115,20 +114,6 @@
 	return usable
 }
 
-// Run asks all hosts once in each interval until ctx ends.
-func (p *Prober) Run(ctx context.Context) {
-	ticker := time.NewTicker(p.options.Interval)
-	defer ticker.Stop()
-	for {
-		p.Ask(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Ask asks all hosts once and returns when all have answered or their time is over.
 func (p *Prober) Ask(ctx context.Context) {
 	p.mu.Lock()
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -19,11 +19,11 @@
 	// lapseGrace is how long a server stays usable after its entry was found missing in a whole reading. Entries expire
 	// while the store is away, and those of living servers are back within about 2 s of its return.
 	lapseGrace = 2200 * time.Millisecond
-	// connectionShare of a server's connections is divided among the hosts; the rest is left for connections that are
-	// being closed and for hosts that have just been added.
-	connectionShare = 0.9
+	// connectionShare of a server's connections is divided among the hosts that serve callers. When hosts lose power, a
+	// server keeps their connections for a while beside the ones that they open after their return.
+	connectionShare = 0.45
 	// assumedHosts divides the connections of a server while the other hosts are not known yet.
-	assumedHosts = 8
+	assumedHosts = 3
 )
 
 // Instance is a registered backend server with what its service's policy says of it.
@@ -38,6 +38,9 @@
 	Routes    *router.Table
 	Tracked   *tracker.View
 	Instances map[broker.ServerName]*Instance
+	// Locality counts, for each availability zone, the shards of scatters with a usable server there, in steps of a
+	// quarter of the shards, so that the loss of single servers does not change it.
+	Locality map[string]int
 }
 
 // KindName names the request kind of a route's requests to one service, or of its scatters where service is empty.
@@ -74,6 +77,7 @@
 	held     map[string]statement // last statement of the lapsed ones
 	leaving  map[string]bool      // zones to leave
 	hosts    int
+	standby  bool
 	revision broker.Revision
 	sequence uint64
 }
@@ -165,7 +169,7 @@
 	r.rebuild()
 }
 
-// Divide takes the number of hosts that share the connections of each server.
+// Divide takes the number of hosts that share the connections and the cold rate of each server.
 func (r *Registrar) Divide(hosts int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,6 +180,29 @@
 	r.rebuild()
 }
 
+// Stand takes whether this host stands by: it then holds no connections to servers open ahead of need.
+func (r *Registrar) Stand(by bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if by == r.standby {
+		return
+	}
+	r.standby = by
+	if view := r.view.Load(); view != nil {
+		for name := range view.Instances {
+			r.sink.Retain(name, r.ready())
+		}
+	}
+}
+
+// ready returns how many connections to a server are held open ahead of need.
+func (r *Registrar) ready() int {
+	if r.standby {
+		return 0
+	}
+	return 1
+}
+
 // rebuild publishes a view of the present inputs.
 func (r *Registrar) rebuild() {
 	if r.catalog == nil {
@@ -191,7 +218,9 @@
 	}
 	tracked := r.tracker.View()
 	r.view.Update(func(current *View) *View {
-		next := &View{Catalog: r.catalog, Tracked: tracked, Instances: instances}
+		next := &View{
+			Catalog: r.catalog, Tracked: tracked, Instances: instances, Locality: r.locality(instances),
+		}
 		switch {
 		case current == nil:
 			next.Routes = router.New(r.catalog.Routes, nil)
@@ -213,7 +242,7 @@
 	if server := r.tracker.Server(name); server != nil {
 		server.SetCold(coldUntil, instance.Policy.WarmupRate/float64(cmp.Or(r.hosts, assumedHosts)))
 	}
-	r.sink.Retain(name, 1)
+	r.sink.Retain(name, r.ready())
 }
 
 // assemble builds the configuration of the table: each route's requests to a service are a kind of their own, whose
@@ -259,6 +288,32 @@
 	return config, instances, cold
 }
 
+// locality counts the shards with servers in each zone.
+func (r *Registrar) locality(instances map[broker.ServerName]*Instance) map[string]int {
+	const steps = 4
+	shards := map[string]bool{}
+	for i := range r.catalog.Routes {
+		for _, shard := range r.catalog.Routes[i].Shards {
+			shards[shard] = true
+		}
+	}
+	covered := map[string]map[string]bool{}
+	for _, instance := range instances {
+		if instance.Draining || r.leaving[instance.Zone] || !shards[instance.Service] {
+			continue
+		}
+		if covered[instance.Zone] == nil {
+			covered[instance.Zone] = map[string]bool{}
+		}
+		covered[instance.Zone][instance.Service] = true
+	}
+	locality := make(map[string]int, len(covered))
+	for zone, services := range covered {
+		locality[zone] = (len(services)*steps + len(shards)/2) / max(len(shards), 1)
+	}
+	return locality
+}
+
 func (r *Registrar) server(name broker.ServerName, instance *Instance) configurator.Server {
 	hosts := cmp.Or(r.hosts, assumedHosts)
 	share := int(float64(instance.Policy.MaxConnections) * connectionShare / float64(hosts))
--- a/internal/forwarder/budget.go
+++ b/internal/forwarder/budget.go
@@ -4,8 +4,8 @@
 	// budgetMargin is the part of the allowed further attempts that hosts use. The rest covers windows in which requests
 	// of one host earn what another has spent.
 	budgetMargin = 0.85
-	// assumedHosts divides the slack while the other hosts are not known yet.
-	assumedHosts = 8
+	// spareHosts are counted beside the hosts that serve callers, because one that takes over brings a budget of its own.
+	spareHosts = 1
 )
 
 // retryShare returns the further attempts that each request earns.
@@ -13,8 +13,6 @@
 
 // retryBurst returns this host's part of the slack.
 func retryBurst(settings Settings, hosts int) int {
-	if hosts == 0 {
-		hosts = assumedHosts
-	}
+	hosts = max(hosts, minEntries) + spareHosts
 	return max(1, int(float64(settings.RetrySlack)*budgetMargin)/hosts)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,7 +120,7 @@
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
 	f.budgets = budgeter.NewShards(retryShare(deps.Settings), retryBurst(deps.Settings, 0))
 	f.prober = prober.New(deps.Probe, prober.Options{
-		Self: deps.Settings.Node, Interval: prober.DefaultInterval, Timeout: prober.DefaultTimeout,
+		Self: deps.Settings.Node, Timeout: prober.DefaultTimeout,
 	}, f.set, f.logger)
 	return f
 }
@@ -251,7 +252,7 @@
 	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, slow, f.set, f.logger)
 	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, slow, f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
-	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.prober.Run, f.expire,
+	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire,
 		f.announce} {
 		f.tasks.Go(func() { run(ctx) })
 	}
@@ -308,8 +309,25 @@
 		hosts[name] = item.Value
 	}
 	f.prober.SetHosts(hosts)
-	f.registrar.Divide(len(hosts))
-	f.budgets.SetBurst(retryBurst(f.settings, len(hosts)))
+	f.share()
+}
+
+// share takes this host's part in serving callers from the hosts that are known now.
+func (f *Forwarder) share() {
+	serving := f.serving()
+	f.registrar.Divide(len(serving))
+	f.budgets.SetBurst(retryBurst(f.settings, len(serving)))
+	f.registrar.Stand(!slices.ContainsFunc(serving, func(host broker.HostRecord) bool { return host.Name == f.settings.Node }))
+}
+
+// watchHosts asks the other hosts in turn whether they take requests.
+func (f *Forwarder) watchHosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		f.prober.Ask(ctx)
+		f.share()
+		wait(ctx, prober.DefaultInterval-time.Since(started))
+	}
 }
 
 // expire drops servers whose entries did not come back after an outage of the store.
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -22,13 +22,15 @@
 	drainTime = 250 * time.Millisecond
 	// goneTime is the same after the caller has left; servers should stop working for it soon.
 	goneTime = 100 * time.Millisecond
-	// targetMargin is kept back from the latency target for the way of the answer to the caller, but no more than
-	// targetMarginShare of the target.
-	targetMargin      = 12 * time.Millisecond
-	targetMarginShare = 0.25
+	// targetMargin is kept back from the latency target, but no more than targetMarginShare of it. Callers count from
+	// before they ask where to connect and open a connection, which takes several round trips.
+	targetMargin      = 30 * time.Millisecond
+	targetMarginShare = 0.4
 	// requestLines a second, with a burst of requestLineBurst, is the volume of lines on single requests.
 	requestLines     = 40
 	requestLineBurst = 200
+	// listed bounds the missing shards and the attempts that one line lists, because lines are cut at a few kilobytes.
+	listed = 12
 	// inboxPerShard leaves room for the answers of all attempts at a shard.
 	inboxPerShard = 4
 )
@@ -284,7 +286,8 @@
 		"result", r.result, "reason", r.finish.Reason, "ms", elapsed.Milliseconds(),
 		"targetMs", r.route.LatencyTarget.Milliseconds(), "patienceMs", r.deadline.Sub(r.started).Milliseconds(),
 		"shards", r.finish.Coverage.ShardsTotal, "answered", r.finish.Coverage.ShardsAnswered,
-		"missing", r.finish.Coverage.Missing, "sent", stats.Sent, "hedges", stats.Hedges,
+		"missing", r.finish.Coverage.Missing[:min(len(r.finish.Coverage.Missing), listed)], "sent", stats.Sent, "hedges", stats.Hedges,
 		"hedgesDenied", stats.HedgesDenied, "retries", stats.Retries, "retriesDenied", stats.RetriesDenied,
-		"attempts", r.trail, "skippedLines", skipped)
+		"attempts", r.trail[:min(len(r.trail), listed)], "attemptsNotListed", max(0, len(r.trail)-listed),
+		"skippedLines", skipped)
 }
