Recall servers after an outage of the store, and try it with one follower

A reading sent before its return waited for 3 s, and then no server was registered, because their entries had expired. Change: hosts keep a list of the registered servers in the store, written by the first serving host on change and recalled at a start; a recalled server is usable for the same grace as one that lapsed. Readings take 0.8 s, each third one 3 s; while the store is away one follower tries it and the others wait. Failures of a server are forgotten like its latency.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -16,15 +16,20 @@
 )
 
 const (
-	// listTimeout bounds one reading of a collection; the store answers in milliseconds, and one that is slow takes
-	// hundreds of them.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds one reading of a collection. The store answers in milliseconds, and one that is slow takes
+	// hundreds of them; a call that was sent while the store was silent gets no answer after its return either.
+	listTimeout = 800 * time.Millisecond
+	// patientEvery of the readings in a row that fail has patientTimeout, for a large collection on a slow store.
+	patientEvery   = 3
+	patientTimeout = 3 * time.Second
 	// watchSlack is how much longer than its wait a watch may take before its connection counts as silent.
-	watchSlack = time.Second
+	watchSlack = 800 * time.Millisecond
+	// tryWait is the wait of a watch that shows whether the store is back.
+	tryWait = time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call. A host has to be up to date again within the
 	// few seconds that configurations may take, counted from the store's return.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 700 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
 	// watchLead is how long the watch has to report a change that a glance has seen.
 	watchLead = 300 * time.Millisecond
 )
@@ -40,6 +45,8 @@
 	Glance time.Duration
 	// HistoryGone is called where the history of the store was found to be gone, which concerns all its collections.
 	HistoryGone func()
+	// Gate is shared by the followers of one store.
+	Gate *Gate
 }
 
 // Update is a new state of a collection; its map must not be changed.
@@ -100,10 +107,13 @@
 	}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = minBackoff, maxBackoff
-	listed := false
+	listed, trying, failures := false, false, 0
 	for ctx.Err() == nil {
+		if !trying {
+			trying = f.options.Gate.enter(ctx)
+		}
 		started := time.Now()
-		err := f.step(ctx, &listed)
+		err := f.step(ctx, &listed, trying, failures)
 		if ctx.Err() != nil {
 			return
 		}
@@ -114,20 +124,28 @@
 		wait := f.options.Pause - time.Since(started)
 		if err != nil {
 			f.fail(err)
+			f.options.Gate.failed()
 			wait = pause.NextBackOff()
+			failures++
 		} else {
 			f.recover()
+			f.options.Gate.answered()
 			pause.Reset()
+			trying, failures = false, 0
 		}
 		sleep(ctx, wait)
 	}
 }
 
 // step makes one call: a reading of the whole collection, or a watch once it has been read.
-func (f *Follower[T]) step(ctx context.Context, listed *bool) error {
+func (f *Follower[T]) step(ctx context.Context, listed *bool, trying bool, failures int) error {
 	f.calls.Inc()
 	if !*listed {
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		timeout := listTimeout
+		if failures%patientEvery == patientEvery-1 {
+			timeout = patientTimeout
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		items, at, err := f.source.List(callCtx)
 		if err != nil {
@@ -137,7 +155,11 @@
 		f.replace(items, at)
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
+	wait := f.options.Wait
+	if trying {
+		wait = tryWait // the others wait for the answer
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	var refreshed atomic.Bool
 	go func() {
@@ -148,7 +170,7 @@
 		case <-callCtx.Done():
 		}
 	}()
-	changes, at, err := f.source.Watch(callCtx, f.at, f.options.Wait)
+	changes, at, err := f.source.Watch(callCtx, f.at, wait)
 	if refreshed.Load() {
 		*listed = false
 		return nil
--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -67,17 +67,17 @@
 
 // Registration is what a backend server states of itself in the platform's store.
 type Registration struct {
-	ID      string // names the instance in requests to it
-	Service string
-	Address netip.AddrPort
-	Zone    string
-	Slots   int
+	ID      string         `json:"id"` // names the instance in requests to it
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Zone    string         `json:"zone"`
+	Slots   int            `json:"slots"`
 	// Draining is whether the server asks for no new work.
-	Draining bool
+	Draining bool `json:"draining,omitempty"`
 	// WarmupLeft is how long the server stays cold, counted from the moment of the statement.
-	WarmupLeft time.Duration
+	WarmupLeft time.Duration `json:"-"`
 	// Born is the start of the server's process on its own clock; two starts under one ID differ in it.
-	Born time.Time
+	Born time.Time `json:"born,omitzero"`
 }
 
 // Name returns the name of the server's present process.
@@ -88,6 +88,20 @@
 	return ServerName(r.ID + "@" + r.Born.UTC().Format("150405.000"))
 }
 
+// Equal returns whether two registrations state the same, apart from how long the server stays cold.
+func (r Registration) Equal(other Registration) bool {
+	r.WarmupLeft, other.WarmupLeft = 0, 0
+	born, otherBorn := r.Born, other.Born
+	r.Born, other.Born = time.Time{}, time.Time{}
+	return r == other && born.Equal(otherBorn)
+}
+
+// ServerList is what the hosts keep in the platform's store of the registered servers, for hosts that start while the
+// servers' own entries have expired.
+type ServerList struct {
+	Servers []Registration `json:"servers"`
+}
+
 // HostRecord is what an entry host states of itself to the other hosts through the platform's store.
 type HostRecord struct {
 	Name      string         `json:"name"`
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -131,6 +131,32 @@
 	r.rebuild()
 }
 
+// Known returns the registered servers that are not draining, by ID.
+func (r *Registrar) Known() []broker.Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := make([]broker.Registration, 0, len(r.servers))
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		if held := r.servers[id]; !held.Draining {
+			known = append(known, held.Registration)
+		}
+	}
+	return known
+}
+
+// Recall takes servers that were registered earlier. Those that are not registered now stay usable for a grace, because
+// entries expire while the store is away.
+func (r *Registrar) Recall(servers []broker.Registration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, server := range servers {
+		if _, ok := r.servers[server.ID]; !ok {
+			r.lapsed[server.ID], r.held[server.ID] = now.Add(lapseGrace), statement{Registration: server}
+		}
+	}
+	r.rebuild()
+}
+
 // Expire drops servers whose grace has ended and returns when the next one is due, or the zero time.
 func (r *Registrar) Expire(now time.Time) time.Time {
 	r.mu.Lock()
--- a/internal/broker/state/tracker/standing.go
+++ b/internal/broker/state/tracker/standing.go
@@ -37,8 +37,9 @@
 	started    []time.Time // of the exchanges in flight, oldest first
 	average    time.Duration
 	answeredAt time.Time
-	errors     float64 // moving average of failures, 0 to 1
-	failures   int     // in a row
+	errors     float64   // moving average of failures, 0 to 1
+	endedAt    time.Time // when the last exchange ended with an answer or a failure
+	failures   int       // in a row
 	avoidUntil time.Time
 	movedFrom  netip.AddrPort // address at which another server answered
 
@@ -102,13 +103,14 @@
 		return
 	}
 	st.failures, st.avoidUntil = 0, time.Time{}
-	st.errors -= st.errors * errorWeight
+	held := st.recallErrors(now)
+	st.errors, st.endedAt = held-held*errorWeight, now
 	latency := now.Sub(sent)
 	if st.average == 0 {
 		st.average = latency
 	} else {
-		held := st.recall(now)
-		st.average = held + (min(latency, held*clipFactor)-held)/latencyWeight
+		average := st.recall(now)
+		st.average = average + (min(latency, average*clipFactor)-average)/latencyWeight
 	}
 	st.answeredAt = now
 }
@@ -159,7 +161,7 @@
 	if now.Before(st.coldUntil) {
 		expected = time.Duration(float64(expected) * coldFactor)
 	}
-	expected += time.Duration(float64(expected) * st.errors * errorCost)
+	expected += time.Duration(float64(expected) * st.recallErrors(now) * errorCost)
 	if now.Before(st.avoidUntil) {
 		expected += avoidCost
 	}
@@ -179,8 +181,18 @@
 	return max(st.average>>halvings, typicalLatency)
 }
 
+// recallErrors returns the average of failures, which is forgotten while the server gets no requests.
+func (st *standing) recallErrors(now time.Time) float64 {
+	idle := now.Sub(st.endedAt)
+	if st.errors == 0 || idle < forgetAfter {
+		return st.errors
+	}
+	return st.errors / float64(uint(1)<<min(int(idle/forgetAfter), 16))
+}
+
 func (st *standing) fail(now time.Time) {
-	st.errors += (1 - st.errors) * errorWeight
+	held := st.recallErrors(now)
+	st.errors, st.endedAt = held+(1-held)*errorWeight, now
 	st.failures++
 	if st.failures == 1 {
 		return // one failure among many is left to the moving average
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -47,6 +47,12 @@
 	// glanceWait is the wait of one cheap look at the configuration. A dropped history has to be found, and the
 	// configuration read again, within the 3 s in which it has to be in force.
 	glanceWait = time.Second
+	// listName names the list of servers that the hosts keep, and listInterval is the pause between looks whether it has to
+	// be written again.
+	listName     = "servers"
+	listInterval = time.Second
+	// writeTimeout bounds one write of this host, or one reading of its own objects.
+	writeTimeout = 1500 * time.Millisecond
 	// recordPause is the pause between attempts to state this host in the store.
 	recordPause = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are above what the configurations of today allow a caller.
@@ -61,6 +67,8 @@
 	Servers  broker.Source[broker.Registration]
 	Leaving  broker.Source[struct{}] // named by availability zone
 	Hosts    broker.Collection[broker.HostRecord]
+	// Lists keeps one list of servers under the name listName.
+	Lists broker.Collection[broker.ServerList]
 }
 
 // Dependencies are what a host is built from.
@@ -97,6 +105,7 @@
 	dispatcher *dispatcher.Dispatcher
 	budgets    *budgeter.Shards
 	prober     *prober.Prober
+	gate       *follower.Gate
 	tasks      sync.WaitGroup
 
 	epoch       time.Time
@@ -109,7 +118,7 @@
 		settings: deps.Settings, sources: deps.Sources, codec: deps.Codec, directory: deps.Directory,
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		slow:    logger.NewLimiter(requestLines, requestLineBurst),
-		tracker: tracker.New(), epoch: time.Now(),
+		tracker: tracker.New(), gate: follower.NewGate(), epoch: time.Now(),
 	}
 	f.drainer = drainer.New(func(from, to string) {
 		f.logger.Info("node state changed", "from", from, "to", to)
@@ -245,14 +254,16 @@
 			each()
 		}
 	}
-	fast := follower.Options{Wait: watchWait, Pause: watchPause, Glance: glanceWait, HistoryGone: historyGone}
-	slow := follower.Options{Wait: watchWait, Pause: serversPause, HistoryGone: historyGone}
+	fast := follower.Options{
+		Wait: watchWait, Pause: watchPause, Glance: glanceWait, HistoryGone: historyGone, Gate: f.gate,
+	}
+	slow := follower.Options{Wait: watchWait, Pause: serversPause, HistoryGone: historyGone, Gate: f.gate}
 	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, fast, f.set, f.logger)
 	servers := follower.New("servers", f.sources.Servers, f.register, slow, f.set, f.logger)
 	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, slow, f.set, f.logger)
 	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, slow, f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
-	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire,
+	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire, f.keepList,
 		f.announce} {
 		f.tasks.Go(func() { run(ctx) })
 	}
@@ -265,7 +276,10 @@
 		Capacity: f.settings.Capacity, Process: uuid.NewString(),
 	}
 	for ctx.Err() == nil {
-		err := f.sources.Hosts.Put(ctx, f.settings.Node, record)
+		f.gate.Await(ctx)
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := f.sources.Hosts.Put(callCtx, f.settings.Node, record)
+		cancel()
 		if err == nil {
 			f.logger.Info("stated this host in the store", "process", record.Process)
 			return
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -56,10 +56,12 @@
 	}
 }
 
+func compareNames(a, b broker.HostRecord) int { return cmp.Compare(a.Name, b.Name) }
+
 // choose returns the hosts to send callers to: those of the zones with the most servers first, of these the largest, and
 // of equal ones alternately from each zone.
 func choose(hosts []broker.HostRecord, locality map[string]int) []broker.HostRecord {
-	slices.SortFunc(hosts, func(a, b broker.HostRecord) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(hosts, compareNames)
 	rank := make(map[string]int, len(hosts)) // position within the zone
 	inZone := map[string]int{}
 	slices.SortStableFunc(hosts, func(a, b broker.HostRecord) int { return cmp.Compare(b.Capacity, a.Capacity) })
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -16,6 +16,8 @@
 	Readiness netip.AddrPort
 	Directory netip.AddrPort
 	Metrics   netip.AddrPort
+	// FirstStart is whether the whole system starts for the first time, so that the store holds nothing of it.
+	FirstStart bool
 	// Capacity is the host's share of a processor core.
 	Capacity float64
 	// StopDeadline is the longest time of a planned stop.
