Find watches of servers that stay without events

Change: followers of servers and zones glance too; a refresh that arrives as a watch ends is no longer lost.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -40,8 +40,8 @@
 	Wait time.Duration
 	// Pause is the least time between two watches, so that many changes in a row cost few calls.
 	Pause time.Duration
-	// Glance is the wait of one cheap look beside the watch, zero for none. A watch hears nothing of a history that is
-	// dropped while it waits.
+	// Glance is the wait of one cheap look beside the watch, zero for none. A watch can stay without events for good, as
+	// when the history is dropped while it waits.
 	Glance time.Duration
 	// HistoryGone is called where the history of the store was found to be gone, which concerns all its collections.
 	HistoryGone func()
@@ -161,17 +161,21 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	var refreshed atomic.Bool
+	refreshed := false
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		select {
 		case <-f.refresh:
-			refreshed.Store(true)
+			refreshed = true
 			cancel()
 		case <-callCtx.Done():
 		}
 	}()
 	changes, at, err := f.source.Watch(callCtx, f.at, wait)
-	if refreshed.Load() {
+	cancel()
+	<-ended
+	if refreshed {
 		*listed = false
 		return nil
 	}
@@ -210,7 +214,7 @@
 			sleep(ctx, maxBackoff)
 		case changed:
 			// The watch normally hears of a change at the same time.
-			sleep(ctx, watchLead)
+			sleep(ctx, f.options.Pause+watchLead)
 			if f.seen.Load() == at {
 				f.logger.Info("the watch missed a change; reading the collection again", "at", at)
 				f.Refresh()
--- /dev/null
+++ b/internal/broker/coordination/follower/follower_test.go
@@ -0,0 +1,238 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// fakeSource is a collection whose calls can fail or stay without events.
+type fakeSource struct {
+	mu      sync.Mutex
+	at      uint64
+	items   map[string]uint64 // value by name; the revision of an item is its value
+	changes []broker.Change[uint64]
+	fail    error
+	deaf    bool // watches wait in vain
+	lists   int
+	watches int
+	changed chan struct{}
+}
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{at: 1, items: map[string]uint64{}, changed: make(chan struct{})}
+}
+
+// set changes an item; zero deletes it.
+func (s *fakeSource) set(name string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.items[name] = s.at
+	if deleted {
+		delete(s.items, name)
+	}
+	s.changes = append(s.changes, broker.Change[uint64]{
+		Item: broker.Item[uint64]{Name: name, Revision: s.at, Value: s.at}, Deleted: deleted,
+	})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeSource) setState(fail error, deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail, s.deaf = fail, deaf
+}
+
+func (s *fakeSource) List(context.Context) ([]broker.Item[uint64], uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	var items []broker.Item[uint64]
+	for name, value := range s.items {
+		items = append(items, broker.Item[uint64]{Name: name, Revision: value, Value: value})
+	}
+	return items, s.at, s.fail
+}
+
+func (s *fakeSource) Watch(
+	ctx context.Context, after uint64, wait time.Duration,
+) ([]broker.Change[uint64], uint64, error) {
+	s.mu.Lock()
+	s.watches++
+	deaf := s.deaf
+	s.mu.Unlock()
+	over := time.After(wait)
+	for {
+		s.mu.Lock()
+		var found []broker.Change[uint64]
+		for _, change := range s.changes {
+			if change.Revision > after && !deaf {
+				found = append(found, change)
+			}
+		}
+		at, fail, changed := s.at, s.fail, s.changed
+		s.mu.Unlock()
+		if fail != nil {
+			return nil, 0, fail
+		}
+		if len(found) > 0 {
+			return found, at, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeSource) Glance(ctx context.Context, after uint64, wait time.Duration) (bool, error) {
+	s.mu.Lock()
+	fail, changed := s.fail, s.at > after
+	s.mu.Unlock()
+	if fail != nil || changed {
+		return changed, fail
+	}
+	sleep(ctx, wait)
+	return false, nil
+}
+
+// follow runs a follower of source until the test ends and returns its updates.
+func follow(t *testing.T, source *fakeSource, options Options) func() []Update[uint64] {
+	var mu sync.Mutex
+	var updates []Update[uint64]
+	if options.Gate == nil {
+		options.Gate = NewGate()
+	}
+	f := New("test", source, func(update Update[uint64]) {
+		mu.Lock()
+		defer mu.Unlock()
+		updates = append(updates, update)
+	}, options, metrics.NewSet(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return func() []Update[uint64] {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(updates)
+	}
+}
+
+// TestFollow guards against changes that are missed in normal operation, and against a whole reading for each.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newFakeSource()
+		source.set("a", false)
+		updates := follow(t, source, Options{Wait: 10 * time.Second})
+		time.Sleep(time.Second)
+		source.set("b", false)
+		time.Sleep(time.Second)
+		source.set("a", true)
+		time.Sleep(time.Second)
+		got := updates()
+		if len(got) != 3 || source.lists != 1 {
+			t.Fatalf("updates: got %d with %d readings, want 3 with 1", len(got), source.lists)
+		}
+		last := got[2]
+		if len(last.Items) != 1 || last.Items["b"].Value == 0 || !slices.Equal(last.Removed, []string{"a"}) || last.Listed {
+			t.Errorf("last update: got %+v, want only b, with a removed", last)
+		}
+	})
+}
+
+// TestDeafWatch guards against a watch that stays without events while the collection changes.
+func TestDeafWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newFakeSource()
+		source.setState(nil, true)
+		updates := follow(t, source, Options{Wait: 25 * time.Second, Glance: time.Second})
+		time.Sleep(2 * time.Second)
+		source.set("a", false)
+		time.Sleep(2 * time.Second)
+		got := updates()
+		if last := got[len(got)-1]; last.Items["a"].Value == 0 || !last.Listed {
+			t.Errorf("last update: got %+v, want a whole reading with a", last)
+		}
+	})
+}
+
+// TestOldReading guards against a state that goes back because a reading or an event is older than what is known.
+func TestOldReading(t *testing.T) {
+	f := New[uint64]("test", newFakeSource(), func(Update[uint64]) {}, Options{}, metrics.NewSet(),
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	item := func(revision uint64) broker.Item[uint64] {
+		return broker.Item[uint64]{Name: "a", Revision: revision, Value: revision}
+	}
+	f.replace([]broker.Item[uint64]{item(5)}, 5)
+	f.replace([]broker.Item[uint64]{item(3)}, 4)
+	f.change([]broker.Change[uint64]{{Item: item(4)}}, 6)
+	f.change([]broker.Change[uint64]{{Item: item(3), Deleted: true}}, 7)
+	if got, want := f.items["a"].Value, uint64(5); got != want {
+		t.Errorf("value: got %d, want %d", got, want)
+	}
+}
+
+// TestGate guards against calls of every follower while the store is away, and against followers that stay behind once
+// it is back.
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const followers = 4
+		gate := NewGate()
+		sources := make([]*fakeSource, followers)
+		updates := make([]func() []Update[uint64], followers)
+		for i := range sources {
+			sources[i] = newFakeSource()
+			updates[i] = follow(t, sources[i], Options{Wait: 25 * time.Second, Gate: gate})
+		}
+		time.Sleep(time.Second)
+		calls := func() (total int) {
+			for _, source := range sources {
+				source.mu.Lock()
+				total += source.lists + source.watches
+				source.mu.Unlock()
+			}
+			return total
+		}
+		for _, source := range sources {
+			source.setState(errors.New("away"), false)
+			source.set("a", false) // ends the watch that waits
+		}
+		before := calls()
+		time.Sleep(10 * time.Second)
+		if got, want := calls()-before, followers+10*int(time.Second/maxBackoff)*2; got > want {
+			t.Errorf("calls in 10 s while the store is away: got %d, want at most %d", got, want)
+		}
+		for _, source := range sources {
+			source.setState(nil, false)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range updates {
+			got := updates[i]()
+			if last := got[len(got)-1]; last.Items["a"].Value == 0 {
+				t.Errorf("follower %d: got %+v, want the item a", i, last)
+			}
+		}
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,8 +44,8 @@
 	// servers register; a draining server has to be left within 3 s.
 	watchPause   = 50 * time.Millisecond
 	serversPause = 400 * time.Millisecond
-	// glanceWait is the wait of one cheap look at the configuration. A dropped history has to be found, and the
-	// configuration read again, within the 3 s in which it has to be in force.
+	// glanceWait is the wait of one cheap look at a collection. A watch without events has to be found, and the
+	// collection read again, within the 3 s in which a configuration has to be in force and a draining server left.
 	glanceWait = time.Second
 	// listName names the list of servers that the hosts keep, and listInterval is the pause between looks whether it has to
 	// be written again.
@@ -257,10 +257,13 @@
 	fast := follower.Options{
 		Wait: watchWait, Pause: watchPause, Glance: glanceWait, HistoryGone: historyGone, Gate: f.gate,
 	}
-	slow := follower.Options{Wait: watchWait, Pause: serversPause, HistoryGone: historyGone, Gate: f.gate}
+	slow := follower.Options{
+		Wait: watchWait, Pause: serversPause, Glance: glanceWait, HistoryGone: historyGone, Gate: f.gate,
+	}
 	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, fast, f.set, f.logger)
 	servers := follower.New("servers", f.sources.Servers, f.register, slow, f.set, f.logger)
 	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, slow, f.set, f.logger)
+	slow.Glance = 0 // hosts also show by their answers whether they are there
 	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, slow, f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire, f.keepList,
