--- /dev/null
+++ b/internal/broker/coordination/scatterer/strategy_test.go
@@ -0,0 +1,186 @@
+package scatterer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/budgeter"
+	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
+)
+
+// direct starts a session of a host that sends itself, over shards with replicas a and b in zones za and zb.
+func direct(f *fixture, strategy Strategy) (*Session, Actions) {
+	strategy.Direct = true
+	if strategy.Budgets == nil {
+		strategy.Budgets = budgeter.NewShards(0.2, 10)
+	}
+	s, err := New(Dependencies{
+		View: f.tracker.View(), Random: rand.New(rand.NewPCG(1, 0)), Strategy: strategy,
+	}, Request{Query: broker.Query{RequestID: "r1", Kind: "search"}, Seen: true, Deadline: epoch.Add(time.Second)}, epoch)
+	if err != nil {
+		panic(err)
+	}
+	return s, s.Start(epoch)
+}
+
+func directFixture(shards int) *fixture {
+	kind := configurator.RequestKind{
+		Idempotent: true, MinCoverage: 0.5, HedgeQuantile: 0.9, Canary: configurator.CanaryNever,
+	}
+	f := newFixture(shards, 2, kind, configurator.RoutingScatter)
+	for name := range f.states {
+		f.announce(name, func(state *broker.ServerState) { state.Snapshots, state.Owner = nil, "" })
+	}
+	return f
+}
+
+// TestTarget guards the moment of a partial answer: at the latency target if it reaches the least coverage, otherwise as
+// soon as it does.
+func TestTarget(t *testing.T) {
+	tests := []struct {
+		name   string
+		early  int // answers before the target, of four shards
+		late   int // answers after it
+		wantAt time.Duration
+	}{
+		{name: "all before the target", early: 4, wantAt: 10 * time.Millisecond},
+		{name: "enough before the target", early: 3, wantAt: 70 * time.Millisecond},
+		{name: "enough after the target", early: 1, late: 2, wantAt: 90 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := directFixture(4)
+			s, actions := direct(f, Strategy{Target: 70 * time.Millisecond, Attempts: 1})
+			sends := actions.Sends
+			var got time.Duration
+			step := func(at time.Duration, next Actions) {
+				if next.Finish != nil && got == 0 {
+					got = at
+				}
+			}
+			for i := range tt.early {
+				answer := reply(sends[i].Sub)
+				step(10*time.Millisecond, s.AnswerOpaque(epoch.Add(10*time.Millisecond), &answer, &broker.OpaqueAnswer{}))
+			}
+			step(70*time.Millisecond, s.Wake(epoch.Add(70*time.Millisecond)))
+			for i := range tt.late {
+				answer := reply(sends[tt.early+i].Sub)
+				step(90*time.Millisecond, s.AnswerOpaque(epoch.Add(90*time.Millisecond), &answer, &broker.OpaqueAnswer{}))
+			}
+			if got != tt.wantAt {
+				t.Errorf("answered after %v, want %v", got, tt.wantAt)
+			}
+		})
+	}
+}
+
+// TestAttempts guards the limit of servers that one request may run on: refusals that did not run do not count.
+func TestAttempts(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome broker.Outcome
+		limit   int
+		want    int // attempts in all
+	}{
+		{name: "refused", outcome: broker.OutcomeNotRun, limit: 1, want: 2},
+		{name: "failed with one attempt allowed", outcome: broker.OutcomeFailed, limit: 1, want: 1},
+		{name: "failed with two attempts allowed", outcome: broker.OutcomeFailed, limit: 2, want: 2},
+		{name: "unknown with two attempts allowed", outcome: broker.OutcomeUnknown, limit: 2, want: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := directFixture(1)
+			s, actions := direct(f, Strategy{Attempts: tt.limit})
+			answer := NotSent(actions.Sends[0].Sub)
+			answer.Outcome, answer.Reason = tt.outcome, broker.ReasonBackendError
+			s.Answer(epoch.Add(time.Millisecond), &answer)
+			if got := s.Stats().Sent; got != tt.want {
+				t.Errorf("attempts: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestShardBudget guards the sum of further attempts at a shard: once its budget is spent there is no hedge and no retry.
+func TestShardBudget(t *testing.T) {
+	budgets := budgeter.NewShards(0, 0)
+	f := directFixture(1)
+	s, actions := direct(f, Strategy{Attempts: 2, Target: 100 * time.Millisecond, Budgets: budgets})
+	s.Wake(epoch.Add(60 * time.Millisecond))
+	answer := NotSent(actions.Sends[0].Sub)
+	answer.Outcome, answer.Reason = broker.OutcomeNotRun, broker.ReasonShed
+	s.Answer(epoch.Add(70*time.Millisecond), &answer)
+	if got := s.Stats().Sent; got != 1 {
+		t.Errorf("attempts: got %d, want 1", got)
+	}
+	if stats := s.Stats(); stats.HedgesDenied == 0 || stats.RetriesDenied == 0 {
+		t.Errorf("denied: got %d hedges and %d retries, want some of each", stats.HedgesDenied, stats.RetriesDenied)
+	}
+}
+
+// TestDirectChoice guards the choice of a server by what this host has seen: the near one first, and not one that is
+// slow, fails, has a request without an answer, is cold beyond its rate, or whose address another server has.
+func TestDirectChoice(t *testing.T) {
+	now := epoch
+	ownAddress := netip.MustParseAddrPort("192.0.2.2:1")
+	past := now.Add(-50 * time.Millisecond)
+	settle := func(server *tracker.Server, latency time.Duration, failed bool, times int) {
+		for i := range times {
+			sent := past.Add(time.Duration(i) * time.Microsecond)
+			server.Sent(sent)
+			server.Settled(sent, sent.Add(latency), failed)
+		}
+	}
+	tests := []struct {
+		name  string
+		given func(near *tracker.Server)
+		want  broker.ServerName
+	}{
+		{name: "near", given: func(*tracker.Server) {}, want: "s0a"},
+		{name: "slow", given: func(near *tracker.Server) { settle(near, 100*time.Millisecond, false, 30) }, want: "s0b"},
+		{name: "one slow answer", given: func(near *tracker.Server) {
+			settle(near, 10*time.Millisecond, false, 30)
+			settle(near, 120*time.Millisecond, false, 1)
+		}, want: "s0a"},
+		{name: "failing", given: func(near *tracker.Server) { settle(near, time.Millisecond, true, 3) }, want: "s0b"},
+		{name: "without an answer", given: func(near *tracker.Server) { near.Sent(past) }, want: "s0b"},
+		{name: "cold beyond its rate", given: func(near *tracker.Server) { near.SetCold(now.Add(time.Second), 1) }, want: "s0b"},
+		{name: "address of another", given: func(near *tracker.Server) { near.Moved(ownAddress) }, want: "s0b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := directFixture(1)
+			servers := f.tracker.View().Table.Config.Servers
+			servers[0].Address, servers[1].Zone = ownAddress, "z2"
+			f.tracker.Server("s0b").Moved(netip.MustParseAddrPort("192.0.2.1:1")) // not its address
+			tt.given(f.tracker.Server("s0a"))
+			_, actions := direct(f, Strategy{Zone: "z"})
+			if len(actions.Sends) == 0 {
+				t.Fatal("no server was chosen")
+			}
+			if got := actions.Sends[0].Sub.Server; got != tt.want {
+				t.Errorf("server: got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestColdRate guards a cold server against more than this host's share of its rate.
+func TestColdRate(t *testing.T) {
+	f := directFixture(1)
+	for _, name := range []broker.ServerName{"s0a", "s0b"} {
+		f.tracker.Server(name).SetCold(epoch.Add(time.Minute), 0.5)
+	}
+	sent := 0
+	for range 10 {
+		_, actions := direct(f, Strategy{Zone: "z"})
+		sent += len(actions.Sends)
+	}
+	if want := 2; sent != want {
+		t.Errorf("requests at once to two cold servers: got %d, want %d", sent, want)
+	}
+}
--- a/internal/broker/state/tracker/standing.go
+++ b/internal/broker/state/tracker/standing.go
@@ -134,7 +134,7 @@
 func (s *Server) Gone(address netip.AddrPort) bool {
 	s.standing.mu.Lock()
 	defer s.standing.mu.Unlock()
-	return s.standing.movedFrom == address
+	return address.IsValid() && s.standing.movedFrom == address
 }
 
 // InFlight returns the exchanges of this host that the server has not ended.
