Follow a few hosts of the zone in place of the store

Change: two hosts of each zone follow the store; the others follow them, and the store itself where they do not answer or have lost it. Only hosts that serve callers or would be next are asked.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -73,6 +73,8 @@
 	lost  bool // the last call failed
 
 	seen    atomic.Uint64 // at, for the glances
+	contact atomic.Int64  // nanoseconds from epoch to the last answer
+	epoch   time.Time
 	refresh chan struct{} // asks for a reading of the whole collection
 
 	calls, glances, failures, updates *metrics.Counter
@@ -87,8 +89,8 @@
 	}
 	return &Follower[T]{
 		name: name, source: source, apply: apply, options: options, logger: logger.With("collection", name),
-		refresh: make(chan struct{}, 1),
-		calls:   counter("calls"), glances: counter("glances"), failures: counter("failures"), updates: counter("updates"),
+		refresh: make(chan struct{}, 1), epoch: time.Now(),
+		calls: counter("calls"), glances: counter("glances"), failures: counter("failures"), updates: counter("updates"),
 	}
 }
 
@@ -100,6 +102,16 @@
 	}
 }
 
+// Contact returns when the source answered last, the zero time before its first answer.
+func (f *Follower[T]) Contact() time.Time {
+	if after := f.contact.Load(); after > 0 {
+		return f.epoch.Add(time.Duration(after))
+	}
+	return time.Time{}
+}
+
+func (f *Follower[T]) touch() { f.contact.Store(int64(time.Since(f.epoch))) }
+
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	if f.options.Glance > 0 {
@@ -121,6 +133,9 @@
 			listed, err = false, nil
 			f.gone()
 		}
+		if errors.Is(err, broker.ErrRelist) {
+			listed, err = false, nil
+		}
 		wait := f.options.Pause - time.Since(started)
 		if err != nil {
 			f.fail(err)
@@ -212,7 +227,10 @@
 			sleep(ctx, f.options.Glance)
 		case err != nil:
 			sleep(ctx, maxBackoff)
-		case changed:
+		case !changed:
+			f.touch()
+		default:
+			f.touch()
 			// The watch normally hears of a change at the same time.
 			sleep(ctx, f.options.Pause+watchLead)
 			if f.seen.Load() == at {
@@ -232,6 +250,9 @@
 	}
 	next := make(map[string]broker.Item[T], len(items))
 	for _, item := range items {
+		if held, ok := f.items[item.Name]; ok && held.Revision > item.Revision {
+			item = held
+		}
 		next[item.Name] = item
 	}
 	var removed []string
@@ -287,6 +308,7 @@
 }
 
 func (f *Follower[T]) recover() {
+	f.touch()
 	if f.lost {
 		f.lost = false
 		f.logger.Info("regained the store", "at", f.at)
--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -114,12 +114,25 @@
 	return usable
 }
 
-// Ask asks all hosts once and returns when all have answered or their time is over.
-func (p *Prober) Ask(ctx context.Context) {
+// Known returns the other hosts that have stated themselves, whatever their state.
+func (p *Prober) Known() []broker.HostRecord {
 	p.mu.Lock()
-	asked := make([]*host, 0, len(p.hosts))
+	defer p.mu.Unlock()
+	known := make([]broker.HostRecord, 0, len(p.hosts))
 	for _, held := range p.hosts {
-		asked = append(asked, held)
+		known = append(known, held.record)
+	}
+	return known
+}
+
+// Ask asks the named hosts once and returns when all have answered or their time is over.
+func (p *Prober) Ask(ctx context.Context, names []string) {
+	p.mu.Lock()
+	asked := make([]*host, 0, len(names))
+	for _, name := range names {
+		if held := p.hosts[name]; held != nil {
+			asked = append(asked, held)
+		}
 	}
 	p.mu.Unlock()
 	var waiting sync.WaitGroup
--- /dev/null
+++ b/internal/broker/coordination/relayer/source.go
@@ -0,0 +1,190 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+const (
+	// badTime is how long a relay that failed is not asked again.
+	badTime = 5 * time.Second
+	// answerSlack is how much longer than its wait a question may take.
+	answerSlack = 600 * time.Millisecond
+	// relayConnections keeps one connection for each collection.
+	relayConnections = 8
+	relayIdle        = 30 * time.Second
+	// maxReply bounds one answer of a relay.
+	maxReply = 16 << 20
+)
+
+// Relays chooses the hosts that are asked in place of the store.
+type Relays struct {
+	client *http.Client
+
+	mu         sync.Mutex
+	candidates []netip.AddrPort // in order; empty where this host follows the store itself
+	bad        map[netip.AddrPort]time.Time
+}
+
+// NewRelays returns relays without candidates.
+func NewRelays() *Relays {
+	return &Relays{bad: map[netip.AddrPort]time.Time{}, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: relayConnections, IdleConnTimeout: relayIdle, DisableCompression: true,
+	}}}
+}
+
+// Set takes the hosts that may be asked, in order of preference.
+func (r *Relays) Set(candidates []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.candidates = candidates
+}
+
+// Direct returns whether this host follows the store itself now.
+func (r *Relays) Direct() bool {
+	_, ok := r.pick(time.Now())
+	return !ok
+}
+
+func (r *Relays) pick(now time.Time) (netip.AddrPort, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, candidate := range r.candidates {
+		if now.After(r.bad[candidate]) {
+			return candidate, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (r *Relays) fail(relay netip.AddrPort, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bad[relay] = now.Add(badTime)
+}
+
+// Source asks a relay for a collection, and the store while there is no relay that answers.
+type Source[T any] struct {
+	name   string
+	direct broker.Source[T]
+	relays *Relays
+
+	mu   sync.Mutex
+	from netip.AddrPort // relay of the last answer
+	seen string         // what that answer told, for the next question
+	at   uint64         // highest revision of all answers
+}
+
+// NewSource returns a source of the collection that relays offer under name.
+func NewSource[T any](name string, direct broker.Source[T], relays *Relays) *Source[T] {
+	return &Source[T]{name: name, direct: direct, relays: relays}
+}
+
+// Path returns the path of a collection's feed.
+func Path(name string) string { return "/feeds/" + name }
+
+// List returns all items.
+func (s *Source[T]) List(ctx context.Context) ([]broker.Item[T], uint64, error) {
+	if relay, ok := s.relays.pick(time.Now()); ok {
+		answer, err := s.ask(ctx, relay, "", 0)
+		if err == nil && answer.Whole {
+			return answer.Items, s.advance(answer.At), nil
+		}
+	}
+	items, at, err := s.direct.List(ctx)
+	return items, s.advance(at), err
+}
+
+// advance returns the highest revision of all answers. The revision of a relay is that of the last change that it heard
+// of, although it knows that there was none since.
+func (s *Source[T]) advance(at uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at = max(s.at, at)
+	return s.at
+}
+
+// Watch returns the changes after a revision.
+func (s *Source[T]) Watch(
+	ctx context.Context, after uint64, wait time.Duration,
+) ([]broker.Change[T], uint64, error) {
+	relay, ok := s.relays.pick(time.Now())
+	if !ok {
+		changes, at, err := s.direct.Watch(ctx, after, wait)
+		s.advance(at)
+		return changes, at, err
+	}
+	s.mu.Lock()
+	from, seen := s.from, s.seen
+	s.mu.Unlock()
+	if from != relay {
+		return nil, 0, &Error{Op: "watch " + s.name, Kind: KindRefused, Err: broker.ErrRelist}
+	}
+	answer, err := s.ask(ctx, relay, seen, min(wait, maxWait))
+	if err != nil {
+		return nil, 0, err
+	}
+	if answer.Whole {
+		return nil, 0, &Error{Op: "watch " + s.name, Kind: KindRefused, Err: broker.ErrRelist}
+	}
+	return answer.Changes, s.advance(answer.At), nil
+}
+
+// Glance looks at the store where this host follows it itself; a relay looks for the hosts that ask it.
+func (s *Source[T]) Glance(ctx context.Context, after uint64, wait time.Duration) (bool, error) {
+	if s.relays.Direct() {
+		return s.direct.Glance(ctx, after, wait)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false, nil
+}
+
+// ask puts one question to a relay.
+func (s *Source[T]) ask(
+	ctx context.Context, relay netip.AddrPort, seen string, wait time.Duration,
+) (reply[T], error) {
+	var answer reply[T]
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s?seen=%s&wait=%s", relay, Path(s.name), seen, wait)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	response, err := s.relays.client.Do(request)
+	if err != nil {
+		s.relays.fail(relay, time.Now())
+		return answer, &Error{Op: "ask " + relay.String(), Kind: KindUnreachable, Err: errors.WithStack(err)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil || response.StatusCode != http.StatusOK {
+		s.relays.fail(relay, time.Now())
+		return answer, &Error{Op: "ask " + relay.String(), Kind: KindRefused, Err: errors.Errorf("%s: %s: %v",
+			response.Status, strings.TrimSpace(string(data[:min(len(data), 100)])), err)}
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		s.relays.fail(relay, time.Now())
+		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	s.mu.Lock()
+	s.from, s.seen = relay, answer.Seen
+	s.mu.Unlock()
+	return answer, nil
+}
--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -7,26 +7,26 @@
 
 // Route says where opaque requests of a host and path prefix go and how they may be treated.
 type Route struct {
-	Name   string
-	Host   string
-	Prefix string // begins and ends with a slash
+	Name   string `json:"name"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"` // begins and ends with a slash
 	// Idempotent permits a second attempt after one that may have run.
-	Idempotent bool
+	Idempotent bool `json:"idempotent"`
 	// Timeout is the longest time that a caller is kept waiting.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout"`
 	// LatencyTarget is the time within which an answer is worth most.
-	LatencyTarget time.Duration
+	LatencyTarget time.Duration `json:"latencyTarget"`
 	// MaxAttempts is the most servers of one service that a request may run on; zero means one.
-	MaxAttempts int
-	Priority    int // zero is the most urgent
+	MaxAttempts int `json:"maxAttempts"`
+	Priority    int `json:"priority"` // zero is the most urgent
 	// Targets are the services that share the requests by weight; it is empty for a scatter.
-	Targets []Target
+	Targets []Target `json:"targets"`
 	// Shards are the services that all receive a scattered request; it is empty otherwise.
-	Shards []string
+	Shards []string `json:"shards"`
 	// TopRecords is how many records the answer to a scatter has at most.
-	TopRecords int
+	TopRecords int `json:"topRecords"`
 	// MinCoverage is the least share of shards with which a scatter succeeds, 0 to 1.
-	MinCoverage float64
+	MinCoverage float64 `json:"minCoverage"`
 }
 
 // Scatter returns whether requests go to all shards of the route.
@@ -34,35 +34,35 @@
 
 // Target is a service with its share of a route's requests.
 type Target struct {
-	Service string
-	Weight  float64
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // ServicePolicy is what the configuration says of the backend servers of a service.
 type ServicePolicy struct {
-	HealthPath string
+	HealthPath string `json:"healthPath"`
 	// MaxConnections is the most connections that one server accepts from all hosts together.
-	MaxConnections int
+	MaxConnections int `json:"maxConnections"`
 	// WarmupTime is how long a server stays cold after its start.
-	WarmupTime time.Duration
+	WarmupTime time.Duration `json:"warmupTime"`
 	// WarmupRate is the requests a second that a cold server bears from all hosts together; zero means no limit.
-	WarmupRate float64
+	WarmupRate float64 `json:"warmupRate"`
 }
 
 // RequestLimits bound what a caller may send and how long it may take.
 type RequestLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `json:"headerBytes"`
+	BodyBytes     int64         `json:"bodyBytes"`
+	HeaderTimeout time.Duration `json:"headerTimeout"`
+	IdleTimeout   time.Duration `json:"idleTimeout"`
 }
 
 // Catalog is one version of the routes and services that operators configured.
 type Catalog struct {
-	Version  Revision
-	Routes   []Route
-	Services map[string]ServicePolicy
-	Limits   RequestLimits
+	Version  Revision                 `json:"version"`
+	Routes   []Route                  `json:"routes"`
+	Services map[string]ServicePolicy `json:"services"`
+	Limits   RequestLimits            `json:"limits"`
 }
 
 // Registration is what a backend server states of itself in the platform's store.
@@ -75,7 +75,7 @@
 	// Draining is whether the server asks for no new work.
 	Draining bool `json:"draining,omitempty"`
 	// WarmupLeft is how long the server stays cold, counted from the moment of the statement.
-	WarmupLeft time.Duration `json:"-"`
+	WarmupLeft time.Duration `json:"warmupLeft,omitempty"`
 	// Born is the start of the server's process on its own clock; two starts under one ID differ in it.
 	Born time.Time `json:"born,omitzero"`
 }
@@ -108,6 +108,8 @@
 	Zone      string         `json:"zone"`
 	Entry     netip.AddrPort `json:"entry"`     // where callers connect
 	Readiness netip.AddrPort `json:"readiness"` // where other hosts ask whether it takes requests
+	// Peer is where other hosts read the collections that this host follows.
+	Peer netip.AddrPort `json:"peer,omitzero"`
 	// Capacity is the host's share of a processor core.
 	Capacity float64 `json:"capacity"`
 	// Process differs between two starts of the host.
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -11,20 +11,24 @@
 // collection has to be listed again.
 var ErrHistoryGone = errors.New("history of the collection is gone")
 
+// ErrRelist is in the chain of an error of Source.Watch where the collection has to be listed again, because it is read
+// from another place than before.
+var ErrRelist = errors.New("collection has to be listed again")
+
 // ErrConflict is in the chain of an error of a write whose condition did not hold.
 var ErrConflict = errors.New("object was changed meanwhile")
 
 // Item is one decoded object of a collection.
 type Item[T any] struct {
-	Name     string
-	Revision uint64
-	Value    T
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Value    T      `json:"value"`
 }
 
 // Change is one change of a collection; Value is meaningless where Deleted is set.
 type Change[T any] struct {
 	Item[T]
-	Deleted bool
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Source is a collection in the platform's store. Entries that cannot be decoded are left out by the source.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
@@ -106,8 +107,11 @@
 	budgets    *budgeter.Shards
 	prober     *prober.Prober
 	gate       *follower.Gate
+	relays     *relayer.Relays
+	feeds      feeds
 	tasks      sync.WaitGroup
 
+	contact     atomic.Pointer[contact]
 	epoch       time.Time
 	lastRequest atomic.Int64 // nanoseconds after epoch at which a caller's request arrived
 }
@@ -128,6 +132,8 @@
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
 	f.budgets = budgeter.NewShards(retryShare(deps.Settings), retryBurst(deps.Settings, 0))
+	f.relays = relayer.NewRelays()
+	f.feeds = newFeeds(f.fresh)
 	f.prober = prober.New(deps.Probe, prober.Options{
 		Self: deps.Settings.Node, Timeout: prober.DefaultTimeout,
 	}, f.set, f.logger)
@@ -216,6 +222,7 @@
 		{f.settings.Readiness, http.HandlerFunc(f.serveReadiness)},
 		{f.settings.Directory, f.directory(f.Resolve)},
 		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
+		{f.settings.Peer, f.feeds.handler()},
 	}
 	var servers []*http.Server
 	closeAll = func() {
@@ -260,11 +267,16 @@
 	slow := follower.Options{
 		Wait: watchWait, Pause: serversPause, Glance: glanceWait, HistoryGone: historyGone, Gate: f.gate,
 	}
-	catalogs := follower.New("configuration", f.sources.Catalogs, f.adoptCatalog, fast, f.set, f.logger)
-	servers := follower.New("servers", f.sources.Servers, f.register, slow, f.set, f.logger)
-	leaving := follower.New("zonesToLeave", f.sources.Leaving, f.leaveZones, slow, f.set, f.logger)
+	catalogs := follower.New(feedCatalogs, relayer.NewSource(feedCatalogs, f.sources.Catalogs, f.relays),
+		f.adoptCatalog, fast, f.set, f.logger)
+	servers := follower.New(feedServers, relayer.NewSource(feedServers, f.sources.Servers, f.relays), f.register, slow,
+		f.set, f.logger)
+	leaving := follower.New(feedLeaving, relayer.NewSource(feedLeaving, f.sources.Leaving, f.relays), f.leaveZones, slow,
+		f.set, f.logger)
 	slow.Glance = 0 // hosts also show by their answers whether they are there
-	hosts := follower.New("hosts", f.sources.Hosts, f.learnHosts, slow, f.set, f.logger)
+	hosts := follower.New(feedHosts, relayer.NewSource[broker.HostRecord](feedHosts, f.sources.Hosts, f.relays),
+		f.learnHosts, slow, f.set, f.logger)
+	f.contact.Store(&contact{catalogs.Contact})
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire, f.keepList,
 		f.announce} {
@@ -274,10 +286,8 @@
 
 // announce puts this host into the store, so that the others can find it.
 func (f *Forwarder) announce(ctx context.Context) {
-	record := broker.HostRecord{
-		Name: f.settings.Node, Zone: f.settings.Zone, Entry: f.settings.Entry, Readiness: f.settings.Readiness,
-		Capacity: f.settings.Capacity, Process: uuid.NewString(),
-	}
+	record := f.self()
+	record.Process = uuid.NewString()
 	for ctx.Err() == nil {
 		f.gate.Await(ctx)
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -293,6 +303,7 @@
 }
 
 func (f *Forwarder) adoptCatalog(update follower.Update[*broker.Catalog]) {
+	f.feeds.catalogs.Publish(update)
 	for _, item := range update.Items {
 		if f.registrar.Adopt(item.Value) {
 			f.logger.Info("configuration in force", "version", item.Value.Version, "revision", item.Revision,
@@ -302,6 +313,7 @@
 }
 
 func (f *Forwarder) register(update follower.Update[broker.Registration]) {
+	f.feeds.servers.Publish(update)
 	servers := make(map[string]broker.Registration, len(update.Items))
 	for name, item := range update.Items {
 		servers[name] = item.Value
@@ -312,6 +324,7 @@
 }
 
 func (f *Forwarder) leaveZones(update follower.Update[struct{}]) {
+	f.feeds.leaving.Publish(update)
 	var zones []string
 	for name := range update.Items {
 		zones = append(zones, name)
@@ -321,11 +334,13 @@
 }
 
 func (f *Forwarder) learnHosts(update follower.Update[broker.HostRecord]) {
+	f.feeds.hosts.Publish(update)
 	hosts := make(map[string]broker.HostRecord, len(update.Items))
 	for name, item := range update.Items {
 		hosts[name] = item.Value
 	}
 	f.prober.SetHosts(hosts)
+	f.relays.Set(f.relayAddresses())
 	f.share()
 }
 
@@ -341,7 +356,7 @@
 func (f *Forwarder) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
-		f.prober.Ask(ctx)
+		f.prober.Ask(ctx, f.candidates())
 		f.share()
 		wait(ctx, prober.DefaultInterval-time.Since(started))
 	}
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -18,6 +18,10 @@
 	minEntries = 3
 	// minCapacity is the least sum of the capacities of the hosts that callers are sent to, in processor cores.
 	minCapacity = 1.2
+	// reserveHosts are asked beside the hosts that serve callers, so that those who take over are known to be there.
+	reserveHosts = 4
+	// zoneRelays hosts of each zone follow the store; one may fail.
+	zoneRelays = 2
 )
 
 // Resolve returns the addresses that a caller in a zone should use and for how long.
@@ -52,15 +56,26 @@
 func (f *Forwarder) self() broker.HostRecord {
 	return broker.HostRecord{
 		Name: f.settings.Node, Zone: f.settings.Zone, Entry: f.settings.Entry, Readiness: f.settings.Readiness,
-		Capacity: f.settings.Capacity,
+		Capacity: f.settings.Capacity, Peer: f.settings.Peer,
 	}
 }
 
 func compareNames(a, b broker.HostRecord) int { return cmp.Compare(a.Name, b.Name) }
 
-// choose returns the hosts to send callers to: those of the zones with the most servers first, of these the largest, and
-// of equal ones alternately from each zone.
+// choose returns the hosts to send callers to, the first in order that are enough.
 func choose(hosts []broker.HostRecord, locality map[string]int) []broker.HostRecord {
+	hosts = order(hosts, locality)
+	capacity, count := 0.0, 0
+	for count < min(len(hosts), maxEntries) && (count < minEntries || capacity < minCapacity) {
+		capacity += hosts[count].Capacity
+		count++
+	}
+	return hosts[:count]
+}
+
+// order sorts hosts by preference: those of the zones with the most servers first, of these the largest, and of equal
+// ones alternately from each zone.
+func order(hosts []broker.HostRecord, locality map[string]int) []broker.HostRecord {
 	slices.SortFunc(hosts, compareNames)
 	rank := make(map[string]int, len(hosts)) // position within the zone
 	inZone := map[string]int{}
@@ -73,12 +88,47 @@
 		return cmp.Or(cmp.Compare(locality[b.Zone], locality[a.Zone]), cmp.Compare(b.Capacity, a.Capacity),
 			cmp.Compare(rank[a.Name], rank[b.Name]))
 	})
-	capacity, count := 0.0, 0
-	for count < min(len(hosts), maxEntries) && (count < minEntries || capacity < minCapacity) {
-		capacity += hosts[count].Capacity
-		count++
+	return hosts
+}
+
+// candidates returns the names of the hosts that serve callers now or would be next to: only these are asked whether they
+// take requests, because questions between all hosts would grow with the square of their number.
+func (f *Forwarder) candidates() []string {
+	serving := make(map[string]bool)
+	for _, host := range f.serving() {
+		serving[host.Name] = true
 	}
-	return hosts[:count]
+	known := order(append(f.prober.Known(), f.self()), f.locality())
+	last := 0
+	for i, host := range known {
+		if serving[host.Name] {
+			last = i
+		}
+	}
+	names := make([]string, 0, last+1+reserveHosts)
+	for _, host := range known[:min(len(known), last+1+reserveHosts)] {
+		names = append(names, host.Name)
+	}
+	return names
+}
+
+// relayAddresses returns the hosts to ask for collections in place of the store: the first of the zone follow it themselves.
+func (f *Forwarder) relayAddresses() []netip.AddrPort {
+	var zone []broker.HostRecord
+	for _, host := range append(f.prober.Known(), f.self()) {
+		if host.Zone == f.settings.Zone && host.Peer.IsValid() {
+			zone = append(zone, host)
+		}
+	}
+	zone = order(zone, nil)
+	addresses := make([]netip.AddrPort, 0, zoneRelays)
+	for _, host := range zone[:min(len(zone), zoneRelays)] {
+		if host.Name == f.settings.Node {
+			return nil
+		}
+		addresses = append(addresses, host.Peer)
+	}
+	return addresses
 }
 
 // locality counts, for each zone, the shards of scatters with a server there.
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -11,11 +11,12 @@
 	Zone  string
 	Zones []string // all availability zones
 	// Entry is the TCP address for callers, Readiness the one for questions whether this host takes requests, Directory
-	// the one for questions which hosts to use, and Metrics the one of /metrics; an invalid address is not served.
+	// the one for questions which hosts to use, Metrics the one of /metrics and Peer the one for other hosts; an invalid address is not served.
 	Entry     netip.AddrPort
 	Readiness netip.AddrPort
 	Directory netip.AddrPort
 	Metrics   netip.AddrPort
+	Peer      netip.AddrPort
 	// FirstStart is whether the whole system starts for the first time, so that the store holds nothing of it.
 	FirstStart bool
 	// Capacity is the host's share of a processor core.
