--- /dev/null
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -0,0 +1,142 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
+)
+
+// storeSource counts what reaches the store.
+type storeSource struct{ calls atomic.Int64 }
+
+func (s *storeSource) List(context.Context) ([]broker.Item[string], uint64, error) {
+	s.calls.Add(1)
+	return []broker.Item[string]{{Name: "store", Revision: 1}}, 100, nil
+}
+
+func (s *storeSource) Watch(context.Context, uint64, time.Duration) ([]broker.Change[string], uint64, error) {
+	s.calls.Add(1)
+	return nil, 100, nil
+}
+
+func (s *storeSource) Glance(context.Context, uint64, time.Duration) (bool, error) {
+	s.calls.Add(1)
+	return false, nil
+}
+
+// relay is a feed behind a socket.
+type relay struct {
+	feed    *Feed[string]
+	fresh   atomic.Bool
+	address netip.AddrPort
+	server  *httptest.Server
+}
+
+func newRelay(t *testing.T) *relay {
+	t.Helper()
+	r := &relay{}
+	r.fresh.Store(true)
+	r.feed = NewFeed[string](r.fresh.Load)
+	r.server = httptest.NewServer(r.feed)
+	t.Cleanup(r.server.Close)
+	r.address = netip.MustParseAddrPort(r.server.Listener.Addr().String())
+	return r
+}
+
+// publish gives the feed a state with one item for each name, whose revision is its value.
+func (r *relay) publish(at uint64, names map[string]uint64) {
+	items := map[string]broker.Item[string]{}
+	for name, revision := range names {
+		items[name] = broker.Item[string]{Name: name, Revision: revision}
+	}
+	r.feed.Publish(follower.Update[string]{Items: items, At: at})
+}
+
+// TestRelay guards the changes that pass through a relay, also one whose revision is below what the asker knows, as
+// after a watch of the relay that stayed without events.
+func TestRelay(t *testing.T) {
+	r, store, relays := newRelay(t), &storeSource{}, NewRelays()
+	relays.Set([]netip.AddrPort{r.address})
+	source := NewSource("test", store, relays)
+	r.publish(10, map[string]uint64{"a": 5})
+	items, at, err := source.List(t.Context())
+	if err != nil || len(items) != 1 || at != 10 {
+		t.Fatalf("List(): got %v at %d, %v; want one item at 10", items, at, err)
+	}
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		r.publish(10, map[string]uint64{"b": 7})
+	}()
+	changes, _, err := source.Watch(t.Context(), at, time.Second)
+	if err != nil || len(changes) != 2 {
+		t.Fatalf("Watch(): got %v, %v; want b added and a deleted", changes, err)
+	}
+	if changes, _, err = source.Watch(t.Context(), at, 10*time.Millisecond); err != nil || len(changes) != 0 {
+		t.Errorf("Watch() without changes: got %v, %v; want none", changes, err)
+	}
+	if got := store.calls.Load(); got != 0 {
+		t.Errorf("calls to the store: got %d, want 0", got)
+	}
+}
+
+// TestRelayFails guards against hosts that stay with a relay that does not answer or has lost the store.
+func TestRelayFails(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(r *relay)
+	}{
+		{name: "lost the store", fail: func(r *relay) { r.fresh.Store(false) }},
+		{name: "gone", fail: func(r *relay) { r.server.Close() }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second, store, relays := newRelay(t), newRelay(t), &storeSource{}, NewRelays()
+			relays.Set([]netip.AddrPort{first.address, second.address})
+			source := NewSource("test", store, relays)
+			first.publish(10, map[string]uint64{"a": 5})
+			second.publish(11, map[string]uint64{"a": 5})
+			if _, _, err := source.List(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			tt.fail(first)
+			if _, _, err := source.Watch(t.Context(), 10, time.Second); err == nil {
+				t.Error("Watch() at a relay that fails: got no error")
+			}
+			if _, _, err := source.Watch(t.Context(), 10, time.Second); !errors.Is(err, broker.ErrRelist) {
+				t.Errorf("Watch() at the next relay: got %v, want ErrRelist", err)
+			}
+			if _, at, err := source.List(t.Context()); err != nil || at != 11 {
+				t.Errorf("List() at the next relay: got %d, %v; want 11", at, err)
+			}
+			tt.fail(second)
+			_, _, _ = source.Watch(t.Context(), 11, time.Second)
+			if _, at, err := source.List(t.Context()); err != nil || at != 100 || !relays.Direct() {
+				t.Errorf("List() without a relay: got %d, %v; want 100 from the store", at, err)
+			}
+		})
+	}
+}
+
+// TestFeedBehind guards against an asker that misses changes because the log no longer has them.
+func TestFeedBehind(t *testing.T) {
+	r, relays := newRelay(t), NewRelays()
+	relays.Set([]netip.AddrPort{r.address})
+	source := NewSource("test", &storeSource{}, relays)
+	r.publish(1, map[string]uint64{"a": 1})
+	if _, _, err := source.List(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(keptChanges + 2) {
+		r.publish(i+2, map[string]uint64{"a": i + 2})
+	}
+	if _, _, err := source.Watch(t.Context(), 1, time.Second); !errors.Is(err, broker.ErrRelist) {
+		t.Errorf("Watch() behind the log: got %v, want ErrRelist", err)
+	}
+}
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -70,8 +70,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Receipt is the backend server's proof of its answer.
-	Receipt string
+	// Signature is the backend server's proof of its answer.
+	Signature string
 }
 
 // ServerRequest is a prepared request to a backend server.
@@ -118,8 +118,8 @@
 	Judge(request *OpaqueRequest, answer *OpaqueAnswer) Verdict
 	// WriteAnswer sends one backend server's answer to the caller unchanged.
 	WriteAnswer(w http.ResponseWriter, answer *OpaqueAnswer)
-	// WriteMerged sends the merged answer of a scatter with the receipts of its parts and the number of shards left out.
-	WriteMerged(w http.ResponseWriter, body []byte, receipts []string, missing int)
+	// WriteMerged sends the merged answer of a scatter with the signatures of its parts and the number of shards left out.
+	WriteMerged(w http.ResponseWriter, body []byte, signatures []string, missing int)
 	// WriteError sends a refusal or failure of the system itself; retryAfter above zero asks the caller to come back.
 	WriteError(w http.ResponseWriter, failure Failure)
 }
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -264,11 +264,11 @@
 
 func (r *run) writeMerged(w http.ResponseWriter, parts []*broker.OpaqueAnswer) {
 	bodies := make([][]byte, len(parts))
-	receipts := make([]string, len(parts))
+	signatures := make([]string, len(parts))
 	for i, part := range parts {
-		bodies[i], receipts[i] = part.Body, part.Receipt
+		bodies[i], signatures[i] = part.Body, part.Signature
 	}
-	r.forwarder.codec.WriteMerged(w, collator.Top(bodies, r.route.TopRecords), receipts, len(r.route.Shards)-len(parts))
+	r.forwarder.codec.WriteMerged(w, collator.Top(bodies, r.route.TopRecords), signatures, len(r.route.Shards)-len(parts))
 }
 
 // log writes a line for a request that did not go as planned.
