--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -39,8 +39,9 @@
 	quietTime = 500 * time.Millisecond
 	// expireInterval is the pause between looks for servers whose entries did not come back.
 	expireInterval = 500 * time.Millisecond
-	// watchWait is the longest wait of one watch. Keep-alive probes find a connection that has gone silent earlier.
-	watchWait = 25 * time.Second
+	// historyShare of the time that the store keeps its history is the longest wait of one watch, which starts from a
+	// revision that is older after it. Keep-alive probes find a connection that has gone silent earlier.
+	historyShare = 0.75
 	// watchPause bounds the calls while many changes of the configuration come in a row, and serversPause while many
 	// servers register; a draining server has to be left within 3 s.
 	watchPause   = 50 * time.Millisecond
@@ -261,6 +262,7 @@
 			each()
 		}
 	}
+	watchWait := time.Duration(float64(f.settings.StoreHistory) * historyShare)
 	fast := follower.Options{
 		Wait: watchWait, Pause: watchPause, Glance: glanceWait, HistoryGone: historyGone, Gate: f.gate,
 	}
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -21,6 +21,8 @@
 	FirstStart bool
 	// Capacity is the host's share of a processor core.
 	Capacity float64
+	// StoreHistory is how long the store keeps its history.
+	StoreHistory time.Duration
 	// StopDeadline is the longest time of a planned stop.
 	StopDeadline time.Duration
 	// RetryShare of the requests for a service, and RetrySlack in each RetryWindow, is what all hosts together may send
