--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -149,3 +149,23 @@
 	// FailureUnknown means that no backend server gave a usable answer; the request may have run.
 	FailureUnknown
 )
+
+// String returns the camel-case name used in logs.
+func (k FailureKind) String() string {
+	switch k {
+	case FailureNotRun:
+		return "notRun"
+	case FailureNoRoute:
+		return "noRoute"
+	case FailureMalformed:
+		return "malformed"
+	case FailureTooLarge:
+		return "tooLarge"
+	case FailureTimeout:
+		return "timeout"
+	case FailureUnknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -35,29 +35,35 @@
 	if f.drainer.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	request, err := f.codec.Decode(r)
+	if err != nil {
+		f.refuse(w, r, "", broker.Failure{Kind: broker.FailureMalformed})
+		return
+	}
 	if !f.drainer.Begin() {
-		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
+		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
 		return
 	}
 	defer f.drainer.End()
 	view := f.registrar.View()
 	if view == nil {
-		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: startRetry})
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: startRetry})
 		return
 	}
-	request, failure := f.read(w, r, view)
-	if failure != nil {
-		f.refuse(w, r, *failure)
+	if failure := f.readBody(w, r, request, view); failure != nil {
+		f.refuse(w, r, request.ID, *failure)
 		return
 	}
 	entry := view.Routes.Match(request.Host, request.Path)
 	if entry == nil {
-		f.refuse(w, r, broker.Failure{Kind: broker.FailureNoRoute})
+		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
 		return
 	}
 	kind, ok := kindOf(entry)
 	if !ok {
-		f.refuse(w, r, broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNoReplica, RetryAfter: serverRetry})
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNoReplica, RetryAfter: serverRetry})
 		return
 	}
 	ctx, span := f.tracer.Start(r.Context(), "entry.request", attribute.String("route", entry.Name))
@@ -94,37 +100,38 @@
 	return max(limit-answerMargin, limit/2)
 }
 
-// read takes the request with its whole body, which may have to be sent more than once.
-func (f *Forwarder) read(
-	w http.ResponseWriter, r *http.Request, view *registrar.View,
-) (*broker.OpaqueRequest, *broker.Failure) {
-	request, err := f.codec.Decode(r)
-	if err != nil {
-		return nil, &broker.Failure{Kind: broker.FailureMalformed}
-	}
+// readBody reads the whole body, which may have to be sent more than once.
+func (f *Forwarder) readBody(
+	w http.ResponseWriter, r *http.Request, request *broker.OpaqueRequest, view *registrar.View,
+) *broker.Failure {
 	if r.ContentLength == 0 {
-		return request, nil
+		return nil
 	}
 	limit := view.Catalog.Limits.BodyBytes
 	if limit == 0 {
 		limit = defaultBody
 	}
+	var err error
 	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
-		return request, nil
+		return nil
 	}
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return nil, &broker.Failure{Kind: broker.FailureTooLarge}
+		return &broker.Failure{Kind: broker.FailureTooLarge}
 	}
-	return nil, &broker.Failure{Kind: broker.FailureMalformed}
+	return &broker.Failure{Kind: broker.FailureMalformed}
 }
 
 // refuse answers a request of which nothing was sent to a backend server.
-func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, failure broker.Failure) {
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, id string, failure broker.Failure) {
 	f.meters.request("", string(failure.Reason), 0)
 	if skipped, ok := f.slow.Allow(time.Now()); ok {
-		f.logger.Info("request refused", "host", r.Host, "path", r.URL.Path, "kind", failure.Kind, "reason", failure.Reason,
-			"skippedLines", skipped)
+		var version broker.Revision
+		if view := f.registrar.View(); view != nil {
+			version = view.Catalog.Version
+		}
+		f.logger.Info("request refused", "id", id, "host", r.Host, "path", r.URL.Path, "version", version,
+			"kind", failure.Kind.String(), "reason", failure.Reason, "skippedLines", skipped)
 	}
 	f.codec.WriteError(w, failure)
 }
