Start from another host's last state while the store cannot be read

Change: a host that knows nothing yet asks the seeds of its settings for their last state where the store does not answer; one that knows no host that takes requests answers the directory's question with 503, so that the caller asks another.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -121,7 +121,8 @@
 	pause.InitialInterval, pause.MaxInterval = minBackoff, maxBackoff
 	listed, trying, failures := false, false, 0
 	for ctx.Err() == nil {
-		if !trying {
+		// A follower that knows nothing yet may learn it from another host.
+		if !trying && f.known {
 			trying = f.options.Gate.enter(ctx)
 		}
 		started := time.Now()
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -83,15 +83,15 @@
 }
 
 // ServeHTTP answers with the changes since an earlier answer, or with all items where the log does not reach so far; it
-// waits for a change for up to the time in the query.
+// waits for a change for up to the time in the query. A question that accepts an old state is answered without the store.
 func (f *Feed[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	seen := r.URL.Query().Get("seen")
+	seen, old := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	over := time.NewTimer(min(wait, maxWait))
 	defer over.Stop()
 	for {
 		answer, changed, ok := f.read(seen)
-		if !ok || !f.fresh() {
+		if !ok || !old && !f.fresh() {
 			http.Error(w, "this host does not follow the store now", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +23,9 @@
 	badTime = 5 * time.Second
 	// answerSlack is how much longer than its wait a question may take.
 	answerSlack = 600 * time.Millisecond
+	// askedReserves hosts are asked for their last state, each for reserveTimeout.
+	askedReserves  = 3
+	reserveTimeout = 300 * time.Millisecond
 	// relayConnections keeps one connection for each collection.
 	relayConnections = 8
 	relayIdle        = 30 * time.Second
@@ -34,6 +39,7 @@
 
 	mu         sync.Mutex
 	candidates []netip.AddrPort // in order; empty where this host follows the store itself
+	reserves   []netip.AddrPort // asked for their last state where the store cannot be read
 	bad        map[netip.AddrPort]time.Time
 }
 
@@ -51,6 +57,13 @@
 	r.candidates = candidates
 }
 
+// SetReserves takes the hosts that are asked for their last state by one that starts while it cannot read the store.
+func (r *Relays) SetReserves(reserves []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserves = reserves
+}
+
 // Direct returns whether this host follows the store itself now.
 func (r *Relays) Direct() bool {
 	_, ok := r.pick(time.Now())
@@ -103,9 +116,30 @@
 		}
 	}
 	items, at, err := s.direct.List(ctx)
+	if err != nil {
+		if answer, ok := s.askReserves(ctx); ok {
+			return answer.Items, s.advance(answer.At), nil
+		}
+	}
 	return items, s.advance(at), err
 }
 
+// askReserves returns the last state of another host.
+func (s *Source[T]) askReserves(ctx context.Context) (reply[T], bool) {
+	s.relays.mu.Lock()
+	reserves := slices.Clone(s.relays.reserves)
+	s.relays.mu.Unlock()
+	rand.Shuffle(len(reserves), func(i, k int) { reserves[i], reserves[k] = reserves[k], reserves[i] })
+	for _, reserve := range reserves[:min(len(reserves), askedReserves)] {
+		// The time of the reading has passed where the store is silent.
+		answer, err := s.request(context.WithoutCancel(ctx), reserve, "old=1", reserveTimeout)
+		if err == nil && answer.Whole {
+			return answer, true
+		}
+	}
+	return reply[T]{}, false
+}
+
 // advance returns the highest revision of all answers. The revision of a relay is that of the last change that it heard
 // of, although it knows that there was none since.
 func (s *Source[T]) advance(at uint64) uint64 {
@@ -158,33 +192,42 @@
 // ask puts one question to a relay.
 func (s *Source[T]) ask(
 	ctx context.Context, relay netip.AddrPort, seen string, wait time.Duration,
+) (reply[T], error) {
+	answer, err := s.request(ctx, relay, fmt.Sprintf("seen=%s&wait=%s", seen, wait), wait+answerSlack)
+	if err != nil {
+		s.relays.fail(relay, time.Now())
+		return answer, err
+	}
+	s.mu.Lock()
+	s.from, s.seen = relay, answer.Seen
+	s.mu.Unlock()
+	return answer, nil
+}
+
+// request puts one question to a host.
+func (s *Source[T]) request(
+	ctx context.Context, relay netip.AddrPort, query string, timeout time.Duration,
 ) (reply[T], error) {
 	var answer reply[T]
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?seen=%s&wait=%s", relay, Path(s.name), seen, wait)
+	url := fmt.Sprintf("http://%s%s?%s", relay, Path(s.name), query)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
 	}
 	response, err := s.relays.client.Do(request)
 	if err != nil {
-		s.relays.fail(relay, time.Now())
 		return answer, &Error{Op: "ask " + relay.String(), Kind: KindUnreachable, Err: errors.WithStack(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
 	if err != nil || response.StatusCode != http.StatusOK {
-		s.relays.fail(relay, time.Now())
 		return answer, &Error{Op: "ask " + relay.String(), Kind: KindRefused, Err: errors.Errorf("%s: %s: %v",
 			response.Status, strings.TrimSpace(string(data[:min(len(data), 100)])), err)}
 	}
 	if err := json.Unmarshal(data, &answer); err != nil {
-		s.relays.fail(relay, time.Now())
 		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
 	}
-	s.mu.Lock()
-	s.from, s.seen = relay, answer.Seen
-	s.mu.Unlock()
 	return answer, nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -134,6 +134,7 @@
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
 	f.budgets = budgeter.NewShards(retryShare(deps.Settings), retryBurst(deps.Settings, 0))
 	f.relays = relayer.NewRelays()
+	f.relays.SetReserves(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.fresh)
 	f.prober = prober.New(deps.Probe, prober.Options{
 		Self: deps.Settings.Node, Timeout: prober.DefaultTimeout,
@@ -343,6 +344,7 @@
 	}
 	f.prober.SetHosts(hosts)
 	f.relays.Set(f.relayAddresses())
+	f.relays.SetReserves(f.reserves())
 	f.share()
 }
 
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -24,11 +24,11 @@
 	zoneRelays = 2
 )
 
-// Resolve returns the addresses that a caller in a zone should use and for how long.
+// Resolve returns the addresses that a caller in a zone should use and for how long; without addresses the caller should
+// ask another host.
 type Resolve func(zone string) (entries []netip.AddrPort, timeToLive time.Duration)
 
-// Resolve returns the addresses of the hosts that should take requests, in random order; where none is known to, it names
-// this host, which answers with the reason. Few hosts see more of each server and hold fewer connections, so that only as
+// Resolve returns the addresses of the hosts that should take requests, in random order. Few hosts see more of each server and hold fewer connections, so that only as
 // many are named as the load and the loss of some need, those first whose zone has the servers.
 func (f *Forwarder) Resolve(string) ([]netip.AddrPort, time.Duration) {
 	f.meters.resolve.Inc()
@@ -38,9 +38,6 @@
 	for i := range hosts {
 		entries = append(entries, hosts[i].Entry)
 	}
-	if len(entries) == 0 {
-		entries = append(entries, f.settings.Entry)
-	}
 	return entries, timeToLive
 }
 
@@ -112,6 +109,17 @@
 	return names
 }
 
+// reserves returns the hosts whose last state may be asked for.
+func (f *Forwarder) reserves() []netip.AddrPort {
+	reserves := slices.Clone(f.settings.Seeds)
+	for _, host := range f.prober.Known() {
+		if host.Peer.IsValid() && !slices.Contains(reserves, host.Peer) {
+			reserves = append(reserves, host.Peer)
+		}
+	}
+	return reserves
+}
+
 // relayAddresses returns the hosts to ask for collections in place of the store: the first of the zone follow it themselves.
 func (f *Forwarder) relayAddresses() []netip.AddrPort {
 	var zone []broker.HostRecord
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -19,6 +19,8 @@
 	Peer      netip.AddrPort
 	// FirstStart is whether the whole system starts for the first time, so that the store holds nothing of it.
 	FirstStart bool
+	// Seeds are addresses of Peer of other hosts, which may be down.
+	Seeds []netip.AddrPort
 	// Capacity is the host's share of a processor core.
 	Capacity float64
 	// StoreHistory is how long the store keeps its history.
