Predict pauses of servers that have a common period

Cause: servers pause for 120 ms each 3 s; more than half of the searches meet one, and where a shard's other server is slow or refuses, its part is missing. Logged answers above 70 ms show one period of 3.00 s, each server at its own time. Change: the tracker finds the period that servers have in common, keeps each server's time, and counts the rest of a predicted pause as expected time.

--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -35,10 +35,11 @@
 	standing standing // of the exchanges that this host makes itself
 }
 
-func newServer(name broker.ServerName) *Server {
+func newServer(name broker.ServerName, common *rhythm) *Server {
 	return &Server{
-		Name:  name,
-		state: holder.New(&broker.ServerState{Server: name, Phase: broker.PhaseUnknown}),
+		Name:     name,
+		state:    holder.New(&broker.ServerState{Server: name, Phase: broker.PhaseUnknown}),
+		standing: standing{pauses: pauses{rhythm: common}},
 	}
 }
 
--- a/internal/broker/state/tracker/standing.go
+++ b/internal/broker/state/tracker/standing.go
@@ -42,6 +42,7 @@
 	failures   int       // in a row
 	avoidUntil time.Time
 	movedFrom  netip.AddrPort // address at which another server answered
+	pauses     pauses
 
 	coldUntil time.Time
 	coldRate  float64 // requests a second from this host while cold, zero for no limit
@@ -106,6 +107,9 @@
 	held := st.recallErrors(now)
 	st.errors, st.endedAt = held-held*errorWeight, now
 	latency := now.Sub(sent)
+	if typical := st.recall(now); st.average > 0 && latency > pauseFactor*typical+pauseMargin {
+		st.pauses.observe(now, latency)
+	}
 	if st.average == 0 {
 		st.average = latency
 	} else {
@@ -158,6 +162,7 @@
 			expected += age
 		}
 	}
+	expected += st.pauses.left(now, typical)
 	if now.Before(st.coldUntil) {
 		expected = time.Duration(float64(expected) * coldFactor)
 	}
--- a/internal/broker/state/tracker/tracker.go
+++ b/internal/broker/state/tracker/tracker.go
@@ -24,6 +24,7 @@
 	arrivals  uint64
 	servers   map[broker.ServerName]*Server
 	latencies map[latencyKey]*Latency
+	rhythm    rhythm
 }
 
 // New returns a tracker without a configuration.
@@ -118,7 +119,7 @@
 func (t *Tracker) server(name broker.ServerName) *Server {
 	server := t.servers[name]
 	if server == nil {
-		server = newServer(name)
+		server = newServer(name, &t.rhythm)
 		t.servers[name] = server
 	}
 	return server
