Hedge at the 0.95 quantile

Cause: with predicted pauses fewer attempts need a hedge, and each costs servers load and, mostly, bytes between zones.

--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -378,6 +378,6 @@
 	}
 }
 
-// hedgeQuantile is the quantile of a shard's latency after which an idempotent attempt is hedged. A server that pauses
-// 4% of the time and 1% of long requests are beyond it, and the budget for further attempts is about a quarter.
-const hedgeQuantile = 0.9
+// hedgeQuantile is the quantile of a shard's latency after which an idempotent attempt is hedged. Pauses that were not
+// predicted and 1% of long requests are beyond it; the rest of the budget for further attempts is left for faults.
+const hedgeQuantile = 0.95
