Reload the settings on a hangup signal

Change: a hangup signal, and a look each 5 s, read the settings file again; the stop deadline, the budget for further attempts and the seeds change while the host runs, a file with faults changes nothing.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -4,6 +4,9 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/urfave/cli/v3"
@@ -20,7 +23,7 @@
 		Name:  "host",
 		Usage: "run an entry host on the users' platform",
 		Description: "Reads the platform's settings file, follows configuration and backend servers in the platform's store\n" +
-			"and passes callers' requests on. SIGTERM or SIGINT starts a planned stop; a second signal ends it at once.\n\n" +
+			"and passes callers' requests on. SIGTERM or SIGINT starts a planned stop; a second signal ends it at once. SIGHUP reads the settings again.\n\n" +
 			"Example: yuccarock host --metrics-port 9464",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the platform's JSON settings `FILE`", Required: true,
@@ -33,16 +36,21 @@
 			if err := level.UnmarshalText([]byte(command.String("log-level"))); err != nil {
 				return usage("--log-level: %v", err)
 			}
-			settings, err := platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
+			load := func() (platform.Settings, error) {
+				return platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
+			}
+			settings, err := load()
 			if err != nil {
 				return &Error{Op: "start the host", Kind: KindInvalid, Err: err}
 			}
-			return runHost(ctx, settings, level)
+			return runHost(ctx, settings, load, level)
 		},
 	}
 }
 
-func runHost(ctx context.Context, settings platform.Settings, level slog.Level) error {
+func runHost(
+	ctx context.Context, settings platform.Settings, load func() (platform.Settings, error), level slog.Level,
+) error {
 	set := metrics.NewSet()
 	log := logger.New(os.Stdout, level, set)
 	defer log.Close()
@@ -54,5 +62,40 @@
 	})
 	stop, force, release := stopSignals(ctx)
 	defer release()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reload(stop, hangups, load, host.Reload, lines)
 	return host.Run(stop, force)
 }
+
+// reloadInterval is the pause between looks at the settings file, which may change without a signal.
+const reloadInterval = 5 * time.Second
+
+// reload applies the settings file after each hangup signal and in intervals; a file with faults changes nothing.
+func reload(
+	ctx context.Context, hangups <-chan os.Signal, load func() (platform.Settings, error),
+	apply func(forwarder.Settings) bool, logger *slog.Logger,
+) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-hangups:
+			signalled = true
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		settings, err := load()
+		switch {
+		case err != nil:
+			logger.Warn("could not reload the settings; those in force stay", "error", err)
+		case apply(settings.Settings):
+			logger.Info("settings reloaded", "signalled", signalled)
+		case signalled:
+			logger.Info("settings unchanged", "signalled", signalled)
+		}
+	}
+}
--- a/internal/broker/coordination/budgeter/shards.go
+++ b/internal/broker/coordination/budgeter/shards.go
@@ -9,9 +9,8 @@
 // Shards holds one budget for each shard, whatever the request kind, as hosts have to keep the sum of all further
 // attempts at a service within a share of its requests and a slack.
 type Shards struct {
-	share float64
-
 	mu      sync.Mutex
+	share   float64
 	burst   int
 	budgets map[broker.ShardName]*Budget
 }
@@ -34,6 +33,16 @@
 	}
 }
 
+// SetShare changes how many tokens each request earns.
+func (s *Shards) SetShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+	for _, budget := range s.budgets {
+		budget.setShare(share)
+	}
+}
+
 // Shard returns the budget of a shard.
 func (s *Shards) Shard(name broker.ShardName) *Budget {
 	s.mu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -113,6 +113,7 @@
 	tasks      sync.WaitGroup
 
 	contact     atomic.Pointer[contact]
+	tunable     atomic.Pointer[Settings] // the settings that may change while the host runs
 	epoch       time.Time
 	lastRequest atomic.Int64 // nanoseconds after epoch at which a caller's request arrived
 }
@@ -125,6 +126,7 @@
 		slow:    logger.NewLimiter(requestLines, requestLineBurst),
 		tracker: tracker.New(), gate: follower.NewGate(), epoch: time.Now(),
 	}
+	f.tunable.Store(&deps.Settings)
 	f.drainer = drainer.New(func(from, to string) {
 		f.logger.Info("node state changed", "from", from, "to", to)
 	})
@@ -186,7 +188,7 @@
 	if err := f.drainer.Leave(); err != nil {
 		return errors.WithStack(err)
 	}
-	ctx, cancel := context.WithTimeout(force, f.settings.StopDeadline)
+	ctx, cancel := context.WithTimeout(force, f.tunable.Load().StopDeadline)
 	defer cancel()
 	f.awaitQuiet(ctx)
 	_ = entry.Close()
@@ -204,8 +206,9 @@
 // awaitQuiet returns once callers have had the time to learn of other hosts and none has sent a request for a while. The
 // server is not shut down meanwhile: that closes idle connections on which a request may just have arrived.
 func (f *Forwarder) awaitQuiet(ctx context.Context) {
-	wait(ctx, min(staleCallers*timeToLive, f.settings.StopDeadline-finishTime))
-	last := time.Now().Add(f.settings.StopDeadline - finishTime)
+	deadline := f.tunable.Load().StopDeadline
+	wait(ctx, min(staleCallers*timeToLive, deadline-finishTime))
+	last := time.Now().Add(deadline - finishTime)
 	for time.Now().Before(last) && ctx.Err() == nil {
 		quiet := time.Since(f.epoch) - time.Duration(f.lastRequest.Load())
 		if f.drainer.Active() == 0 && quiet >= quietTime {
@@ -352,10 +355,28 @@
 func (f *Forwarder) share() {
 	serving := f.serving()
 	f.registrar.Divide(len(serving))
-	f.budgets.SetBurst(retryBurst(f.settings, len(serving)))
+	f.budgets.SetBurst(retryBurst(*f.tunable.Load(), len(serving)))
 	f.registrar.Stand(!slices.ContainsFunc(serving, func(host broker.HostRecord) bool { return host.Name == f.settings.Node }))
 }
 
+// Reload takes settings that may change while the host runs: the stop deadline, the budget for further attempts and the
+// seeds. It returns whether any of them changed.
+func (f *Forwarder) Reload(settings Settings) bool {
+	held := f.tunable.Load()
+	if held.StopDeadline == settings.StopDeadline && held.RetryShare == settings.RetryShare &&
+		held.RetrySlack == settings.RetrySlack && slices.Equal(held.Seeds, settings.Seeds) {
+		return false
+	}
+	next := *held
+	next.StopDeadline, next.Seeds = settings.StopDeadline, settings.Seeds
+	next.RetryShare, next.RetrySlack = settings.RetryShare, settings.RetrySlack
+	f.tunable.Store(&next)
+	f.budgets.SetShare(retryShare(next))
+	f.relays.SetReserves(f.reserves())
+	f.share()
+	return true
+}
+
 // watchHosts asks the other hosts in turn whether they take requests.
 func (f *Forwarder) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -111,7 +111,7 @@
 
 // reserves returns the hosts whose last state may be asked for.
 func (f *Forwarder) reserves() []netip.AddrPort {
-	reserves := slices.Clone(f.settings.Seeds)
+	reserves := slices.Clone(f.tunable.Load().Seeds)
 	for _, host := range f.prober.Known() {
 		if host.Peer.IsValid() && !slices.Contains(reserves, host.Peer) {
 			reserves = append(reserves, host.Peer)
