Refuse while a host is cut off from store, hosts and servers

Change: a host whose last three scatters failed, that cannot read the store and to which fewer than half of the asked hosts answer, is not ready, names no addresses and refuses at once, but for a trial each 0.5 s.

--- a/internal/broker/coordination/follower/gate.go
+++ b/internal/broker/coordination/follower/gate.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// Away returns whether the store did not answer last.
+func (g *Gate) Away() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.away
+}
+
 // failed records that a call failed; the follower that tries the store goes on doing so.
 func (g *Gate) failed() {
 	g.mu.Lock()
--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -125,6 +125,22 @@
 	return known
 }
 
+// Answering returns how many of the hosts that were asked answer.
+func (p *Prober) Answering() (answering, asked int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, held := range p.hosts {
+		switch held.machine.Current() {
+		case StateReady, StateUnready:
+			answering++
+			asked++
+		case StateSuspect, StateDown:
+			asked++
+		}
+	}
+	return answering, asked
+}
+
 // Ask asks the named hosts once and returns when all have answered or their time is over.
 func (p *Prober) Ask(ctx context.Context, names []string) {
 	p.mu.Lock()
--- a/internal/broker/outcome.go
+++ b/internal/broker/outcome.go
@@ -55,6 +55,7 @@
 	ReasonLost            Reason = "connectionLost"
 	ReasonMoved           Reason = "addressMoved" // another server has the address now
 	ReasonNotReady        Reason = "notReady"     // the node does not know a configuration yet
+	ReasonIsolated        Reason = "isolated"     // the node is cut off from store, other nodes and servers
 	ReasonBackendError    Reason = "backendError"
 	ReasonNoReplica       Reason = "noReplica"
 	ReasonBudget          Reason = "retryBudget"
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -51,6 +51,11 @@
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: startRetry})
 		return
 	}
+	if f.isolated() && !f.isolation.trial(started) {
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonIsolated, RetryAfter: leavingRetry})
+		return
+	}
 	if failure := f.readBody(w, r, request, view); failure != nil {
 		f.refuse(w, r, request.ID, *failure)
 		return
@@ -144,6 +149,9 @@
 	if f.registrar.View() == nil {
 		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("no configuration is in force")}
 	}
+	if f.isolated() {
+		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("store, hosts and servers are out of reach")}
+	}
 	return nil
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,6 +109,7 @@
 	prober     *prober.Prober
 	gate       *follower.Gate
 	relays     *relayer.Relays
+	isolation  isolation
 	feeds      feeds
 	tasks      sync.WaitGroup
 
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -239,6 +239,9 @@
 	parts := r.core.Parts()
 	complete := r.finish.Status == broker.StatusComplete || r.finish.Status == broker.StatusPartial
 	r.result = string(r.finish.Status)
+	if r.route.Scatter() && !r.gone {
+		f.isolation.scattered(complete)
+	}
 	switch {
 	case r.gone:
 		r.result = "callerGone"
