--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -15,9 +15,6 @@
 // from another place than before.
 var ErrRelist = errors.New("collection has to be listed again")
 
-// ErrConflict is in the chain of an error of a write whose condition did not hold.
-var ErrConflict = errors.New("object was changed meanwhile")
-
 // Item is one decoded object of a collection.
 type Item[T any] struct {
 	Name     string `json:"name"`
@@ -47,8 +44,6 @@
 	Source[T]
 	// Put creates or replaces the object of a name.
 	Put(ctx context.Context, name string, value T) error
-	// Delete removes the object of a name where its revision is still the given one; zero removes any.
-	Delete(ctx context.Context, name string, revision uint64) error
 }
 
 // OpaqueRequest is a caller's request on a route, which is passed on unchanged.
--- a/internal/broker/state/tracker/standing.go
+++ b/internal/broker/state/tracker/standing.go
@@ -141,13 +141,6 @@
 	return address.IsValid() && s.standing.movedFrom == address
 }
 
-// InFlight returns the exchanges of this host that the server has not ended.
-func (s *Server) InFlight() int {
-	s.standing.mu.Lock()
-	defer s.standing.mu.Unlock()
-	return len(s.standing.started)
-}
-
 // Expected estimates how long the server takes for one more request: its typical time, the queue that this host has put
 // there, and what a request without an answer or failures in the recent past suggest.
 func (s *Server) Expected(now time.Time, slots int) time.Duration {
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -28,8 +28,9 @@
 // ask another host.
 type Resolve func(zone string) (entries []netip.AddrPort, timeToLive time.Duration)
 
-// Resolve returns the addresses of the hosts that should take requests, in random order. Few hosts see more of each server and hold fewer connections, so that only as
-// many are named as the load and the loss of some need, those first whose zone has the servers.
+// Resolve returns the addresses of the hosts that should take requests, in random order. Few hosts see more
+// of each server and hold fewer connections, so that only as many are named as the loss of some needs, those first whose
+// zone has the servers.
 func (f *Forwarder) Resolve(string) ([]netip.AddrPort, time.Duration) {
 	f.meters.resolve.Inc()
 	hosts := f.serving()
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -27,9 +27,8 @@
 	StoreHistory time.Duration
 	// StopDeadline is the longest time of a planned stop.
 	StopDeadline time.Duration
-	// RetryShare of the requests for a service, and RetrySlack in each RetryWindow, is what all hosts together may send
+	// RetryShare of the requests for a service, and RetrySlack within 10 s, is what all hosts together may send
 	// beyond the first attempt of each request.
-	RetryShare  float64
-	RetrySlack  int
-	RetryWindow time.Duration
+	RetryShare float64
+	RetrySlack int
 }
