Count only members that were heard when excluding others

A partitioned member reads a new generation from the store, and counted the new member in it, from which nothing had come yet, as reachable. With itself that is a majority of three, so it excluded the third member, which excluded it. When the new member died, the two others ignored each other's reports for good.

Ruled out: a lost or late host list (the dead host was confirmed as gone), a write that was lost.

Change: a member counts as reachable only once something has come from it.

--- a/internal/broker/coordination/leaser/quorum.go
+++ b/internal/broker/coordination/leaser/quorum.go
@@ -79,12 +79,19 @@
 	return now.Sub(p.heard) > limit
 }
 
-// reachable returns how many members are heard from, this one included, or are known to be gone.
+func (c *Core) met(id broker.NodeID) bool {
+	p := c.peers[id]
+	return p != nil && p.met
+}
+
+// reachable returns how many members are heard from, this one included, or are known to be gone. A new member that
+// nothing has come from yet is no evidence of contact: a partitioned member that learns of one from the store would
+// otherwise exclude the members on the other side, which exclude it.
 func (c *Core) reachable(now time.Time) int {
 	count := 0
 	for i := range c.membership.Members {
 		id := c.membership.Members[i].ID
-		if id == c.self.ID || c.gone(id, now) || !c.isExcluded(id) && !c.silent(id, now) {
+		if id == c.self.ID || c.gone(id, now) || !c.isExcluded(id) && c.met(id) && !c.silent(id, now) {
 			count++
 		}
 	}
--- a/internal/broker/coordination/leaser/rules_test.go
+++ b/internal/broker/coordination/leaser/rules_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// TestSilenceOfNewMembers guards against a partitioned member that counts a member of which it has only read in the
+// store as heard, and excludes the others, which exclude it: when the new member is lost as well, no majority is left.
+func TestSilenceOfNewMembers(t *testing.T) {
+	b := newBench(t, "a", "b", "c")
+	b.pass(time.Second, 1, nil, "a", "c")
+	b.pass(3*time.Second, 1, nil)
+	b.step(Adopt{Membership: next(2, "b", "c", "d")})
+	b.pass(time.Second, 2, nil)
+	if got := b.core.exclusions(); len(got) > 0 {
+		t.Errorf("got the exclusions %v of a member that hears nobody, want none", got)
+	}
+}
+
 // TestEarlierGenerationsAreConfirmed guards against a member that enters a late generation and does not wait for
 // the majority of one before the previous.
 func TestEarlierGenerationsAreConfirmed(t *testing.T) {
