--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -46,6 +46,22 @@
 	Quarantined time.Duration // how long a quarantined fingerprint is kept
 	Trial       time.Duration // how long a trial may take before it counts as ended without a result
 	Entries     int           // most fingerprints kept
+	// Crashes is how many crashes without an answer in between quarantine a fingerprint; zero means two. Those less than
+	// Apart after the one before count as one.
+	Crashes int
+	Apart   time.Duration
+}
+
+// DirectOptions returns the bounds for hosts that send to servers themselves. Such a host sees only that a connection
+// broke, which has other causes too: several servers can fail at once, and connections are reset.
+func DirectOptions() Options {
+	return Options{
+		Suspected:   time.Minute,
+		Quarantined: 10 * time.Minute,
+		Entries:     512,
+		Crashes:     3,
+		Apart:       200 * time.Millisecond,
+	}
 }
 
 // DefaultOptions returns the bounds for production. Other nodes do not learn of a trial that ends without a result, so
@@ -72,6 +88,8 @@
 	convicted  bool
 	since      time.Time
 	first      crash
+	further    int               // crashes after the first one that count
+	last       time.Time         // time of the last one that counts
 	holder     broker.ServerName // server of the trial
 	trialUntil time.Time
 }
@@ -89,6 +107,9 @@
 	return &Quarantiner{options: options, held: holder.New(&entries{})}
 }
 
+// Empty returns whether every fingerprint is clear.
+func (q *Quarantiner) Empty() bool { return len(*q.held.Load()) == 0 }
+
 // Standing returns what is known of the fingerprint; fingerprint zero stands for none and is always clear.
 func (q *Quarantiner) Standing(fingerprint broker.Fingerprint, now time.Time) Standing {
 	held := *q.held.Load()
@@ -176,13 +197,18 @@
 		}
 		e.holder, e.trialUntil = report.Server, now.Add(q.options.Trial)
 	case !ok:
-		e = entry{since: now, first: seen}
+		e = entry{since: now, last: now, first: seen}
 	case e.convicted || e.first == seen:
 		return nil
 	case e.first == (crash{}) && !report.Alone && now.Sub(e.since) < mergeGrace:
 		e.first = seen
+	case now.Sub(e.last) < q.options.Apart:
+		return nil
 	default:
-		e.convicted, e.since = true, now
+		e.further, e.last = e.further+1, now
+		if e.further+1 >= q.options.Crashes {
+			e.convicted, e.since = true, now
+		}
 	}
 	next := with(current, report.Fingerprint, e)
 	q.bound(*next, report.Fingerprint, now)
--- a/internal/broker/coordination/quarantiner/quarantiner_test.go
+++ b/internal/broker/coordination/quarantiner/quarantiner_test.go
@@ -84,6 +84,47 @@
 	}
 }
 
+// TestDirect guards against a request that stays unrecognized, and against one that is refused because many servers
+// failed at the same time or because connections broke while other runs of it were answered.
+func TestDirect(t *testing.T) {
+	crash := func(q *Quarantiner, at time.Duration) { q.Report(report("a1", false), epoch.Add(at)) }
+	tests := []struct {
+		name string
+		run  func(q *Quarantiner)
+		want Standing
+	}{
+		{"three crashes at different servers", func(q *Quarantiner) {
+			for i, server := range []broker.ServerName{"a1", "a2", "a3"} {
+				q.Report(report(server, false), epoch.Add(time.Duration(i)*time.Second))
+			}
+		}, Quarantined},
+		{"two crashes", func(q *Quarantiner) {
+			crash(q, 0)
+			q.Report(report("a2", false), epoch.Add(time.Second))
+		}, Suspect},
+		{"many servers at once", func(q *Quarantiner) {
+			for _, server := range []broker.ServerName{"a1", "a2", "a3", "a4", "a5"} {
+				q.Report(report(server, false), epoch)
+			}
+		}, Suspect},
+		{"answered in between", func(q *Quarantiner) {
+			for i, server := range []broker.ServerName{"a1", "a2", "a3"} {
+				q.Report(report(server, false), epoch.Add(time.Duration(i)*time.Second))
+				if i == 1 {
+					q.Report(broker.CrashReport{Fingerprint: 1, Server: "a4", Cleared: true}, epoch)
+				}
+			}
+		}, Suspect},
+	}
+	for _, tt := range tests {
+		q := New(DirectOptions())
+		tt.run(q)
+		if got := q.Standing(1, epoch.Add(3*time.Second)); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // TestSimultaneousTrials guards against two nodes that both run a suspect because their announcements crossed.
 func TestSimultaneousTrials(t *testing.T) {
 	nodes := map[broker.ServerName]*Quarantiner{"a2": New(DefaultOptions()), "a3": New(DefaultOptions())}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,6 +82,29 @@
 	return netip.AddrPort{}, false
 }
 
+// Tell sends a message to another host.
+func (r *Relays) Tell(ctx context.Context, to netip.AddrPort, path string, message any) error {
+	op := "tell " + to.String()
+	body, err := json.Marshal(message)
+	if err != nil {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := r.client.Do(request)
+	if err != nil {
+		return &Error{Op: op, Kind: KindUnreachable, Err: errors.WithStack(err)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode/100 != 2 {
+		return &Error{Op: op, Kind: KindRefused, Err: errors.New(response.Status)}
+	}
+	return nil
+}
+
 func (r *Relays) fail(relay netip.AddrPort, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -129,11 +129,11 @@
 
 // CrashReport tells every node that a backend server died while running a request.
 type CrashReport struct {
-	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	Server      ServerName  `cbor:"2,keyasint"`
-	BootID      string      `cbor:"3,keyasint"`
-	Alone       bool        `cbor:"4,keyasint"` // no other request was running at the server
-	Cleared     bool        `cbor:"5,keyasint"` // the suspect ran alone and finished
+	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
+	Server      ServerName  `cbor:"2,keyasint" json:"server"`
+	BootID      string      `cbor:"3,keyasint" json:"bootId"`
+	Alone       bool        `cbor:"4,keyasint" json:"alone,omitempty"`   // no other request was running at the server
+	Cleared     bool        `cbor:"5,keyasint" json:"cleared,omitempty"` // the suspect ran alone and finished
 	// Trial is whether the suspect starts its one more run, so that no other node starts it as well.
-	Trial bool `cbor:"6,keyasint,omitempty"`
+	Trial bool `cbor:"6,keyasint,omitempty" json:"trial,omitempty"`
 }
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -65,6 +65,11 @@
 		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
 		return
 	}
+	if f.quarantine.refuses(request, entry.Route) {
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonQuarantined, RetryAfter: quarantineRetry})
+		return
+	}
 	kind, ok := kindOf(entry)
 	if !ok {
 		f.refuse(w, r, request.ID,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -110,6 +110,7 @@
 	gate       *follower.Gate
 	relays     *relayer.Relays
 	isolation  isolation
+	quarantine *quarantine
 	feeds      feeds
 	tasks      sync.WaitGroup
 
@@ -139,6 +140,7 @@
 	f.relays = relayer.NewRelays()
 	f.relays.SetReserves(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.fresh)
+	f.quarantine = newQuarantine(f.set, f.logger)
 	f.prober = prober.New(deps.Probe, prober.Options{
 		Self: deps.Settings.Node, Timeout: prober.DefaultTimeout,
 	}, f.set, f.logger)
@@ -228,7 +230,7 @@
 		{f.settings.Readiness, http.HandlerFunc(f.serveReadiness)},
 		{f.settings.Directory, f.directory(f.Resolve)},
 		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
-		{f.settings.Peer, f.feeds.handler()},
+		{f.settings.Peer, f.servePeers()},
 	}
 	var servers []*http.Server
 	closeAll = func() {
@@ -286,7 +288,7 @@
 	f.contact.Store(&contact{catalogs.Contact})
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire, f.keepList,
-		f.announce} {
+		f.announce, f.spreadCrashes} {
 		f.tasks.Go(func() { run(ctx) })
 	}
 }
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -196,6 +196,9 @@
 		if !reply.Sent {
 			ended.answer.Outcome = broker.OutcomeNotRun
 		}
+		if reply.Sent && reply.Reason == broker.ReasonLost {
+			f.quarantine.crashed(r.request, sub)
+		}
 		if ctx.Err() != nil && now.Sub(sent) < goneTime {
 			server.Dropped(sent)
 		} else {
@@ -203,6 +206,7 @@
 		}
 		return ended
 	}
+	f.quarantine.answered(r.request, sub)
 	verdict := f.codec.Judge(r.request, reply.Answer)
 	if r.route.Scatter() && verdict.Outcome == broker.OutcomeAnswered && reply.Answer.Status/100 != 2 {
 		verdict = broker.Verdict{Outcome: broker.OutcomeFailed, Reason: broker.ReasonBackendError}
