Remove the records of hosts that are gone

Cause: hosts are replaced at any time, each states itself in the store under its name, and nothing removed these records: the list that all hosts read grows for good.

Change: the first serving host asks all known hosts each minute, and removes the record of one that has missed ten questions in a row, at the revision that it has seen. A host whose record is missing twice, 5 s apart, states itself again. The three copies of the wait for a context, and the one of the linker, are one function now.

Ruled out: removal at a planned stop (two calls to the store for each restart), and any removal by a host that misses most answers itself.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 const (
@@ -149,7 +150,7 @@
 			pause.Reset()
 			trying, failures = false, 0
 		}
-		sleep(ctx, wait)
+		waiter.Wait(ctx, wait)
 	}
 }
 
@@ -215,7 +216,7 @@
 	for ctx.Err() == nil {
 		at := f.seen.Load()
 		if at == 0 {
-			sleep(ctx, minBackoff)
+			waiter.Wait(ctx, minBackoff)
 			continue
 		}
 		f.glances.Inc()
@@ -225,19 +226,19 @@
 		switch {
 		case errors.Is(err, broker.ErrHistoryGone):
 			f.gone()
-			sleep(ctx, f.options.Glance)
+			waiter.Wait(ctx, f.options.Glance)
 		case err != nil:
-			sleep(ctx, maxBackoff)
+			waiter.Wait(ctx, maxBackoff)
 		case !changed:
 			f.touch()
 		default:
 			f.touch()
 			// The watch normally hears of a change at the same time.
-			sleep(ctx, f.options.Pause+watchLead)
+			waiter.Wait(ctx, f.options.Pause+watchLead)
 			if f.seen.Load() == at {
 				f.logger.Info("the watch missed a change; reading the collection again", "at", at)
 				f.Refresh()
-				sleep(ctx, f.options.Glance)
+				waiter.Wait(ctx, f.options.Glance)
 			}
 		}
 	}
@@ -315,15 +316,3 @@
 		f.logger.Info("regained the store", "at", f.at)
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/broker/coordination/follower/follower_test.go
+++ b/internal/broker/coordination/follower/follower_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 // fakeSource is a collection whose calls can fail or stay without events.
@@ -107,7 +108,7 @@
 	if fail != nil || changed {
 		return changed, fail
 	}
-	sleep(ctx, wait)
+	waiter.Wait(ctx, wait)
 	return false, nil
 }
 
--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -125,6 +125,20 @@
 	return known
 }
 
+// Silent returns the names of the hosts that missed their last answers.
+func (p *Prober) Silent() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silent := make(map[string]bool)
+	for name, held := range p.hosts {
+		switch held.machine.Current() {
+		case StateSuspect, StateDown:
+			silent[name] = true
+		}
+	}
+	return silent
+}
+
 // Answering returns how many of the hosts that were asked answer.
 func (p *Prober) Answering() (answering, asked int) {
 	p.mu.Lock()
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -44,6 +44,8 @@
 	Source[T]
 	// Put creates or replaces the object of a name.
 	Put(ctx context.Context, name string, value T) error
+	// Delete removes the object of a name if its revision is the given one.
+	Delete(ctx context.Context, name string, revision uint64) error
 }
 
 // OpaqueRequest is a caller's request on a route, which is passed on unchanged.
--- a/internal/broker/transport/linker/dialer.go
+++ b/internal/broker/transport/linker/dialer.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/protocol/encoder"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 // startDialer is called with Linker.mu held.
@@ -29,7 +30,7 @@
 		patience = l.options.FallbackDelay
 	}
 	var lastFailure ErrorKind
-	for delay := patience; pause(ctx, delay); {
+	for delay := patience; waiter.Wait(ctx, delay); {
 		if k := l.linkTo(member.ID); k != nil {
 			select {
 			case <-k.down:
@@ -80,18 +81,6 @@
 	return nil
 }
 
-// pause waits and returns whether ctx goes on.
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // dial makes a connection, proves the own name first and takes the link into use once the peer has proved its.
 func (l *Linker) dial(ctx context.Context, p *peer, member broker.Member) error {
 	const op = "dial a peer"
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -26,6 +25,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
 	"github.com/yuccarock/yuccarock/internal/logger"
 	"github.com/yuccarock/yuccarock/internal/tracer"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 const (
@@ -55,8 +55,6 @@
 	listInterval = time.Second
 	// writeTimeout bounds one write of this host, or one reading of its own objects.
 	writeTimeout = 1500 * time.Millisecond
-	// recordPause is the pause between attempts to state this host in the store.
-	recordPause = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are above what the configurations of today allow a caller.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -109,6 +107,7 @@
 	prober     *prober.Prober
 	gate       *follower.Gate
 	relays     *relayer.Relays
+	records    records
 	isolation  isolation
 	quarantine *quarantine
 	feeds      feeds
@@ -210,14 +209,14 @@
 // server is not shut down meanwhile: that closes idle connections on which a request may just have arrived.
 func (f *Forwarder) awaitQuiet(ctx context.Context) {
 	deadline := f.tunable.Load().StopDeadline
-	wait(ctx, min(staleCallers*timeToLive, deadline-finishTime))
+	waiter.Wait(ctx, min(staleCallers*timeToLive, deadline-finishTime))
 	last := time.Now().Add(deadline - finishTime)
 	for time.Now().Before(last) && ctx.Err() == nil {
 		quiet := time.Since(f.epoch) - time.Duration(f.lastRequest.Load())
 		if f.drainer.Active() == 0 && quiet >= quietTime {
 			return
 		}
-		wait(ctx, max(quietTime-quiet, quietTime/10))
+		waiter.Wait(ctx, max(quietTime-quiet, quietTime/10))
 	}
 }
 
@@ -288,29 +287,11 @@
 	f.contact.Store(&contact{catalogs.Contact})
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	for _, run := range []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.watchHosts, f.expire, f.keepList,
-		f.announce, f.spreadCrashes} {
+		f.announce, f.removeGone, f.spreadCrashes} {
 		f.tasks.Go(func() { run(ctx) })
 	}
 }
 
-// announce puts this host into the store, so that the others can find it.
-func (f *Forwarder) announce(ctx context.Context) {
-	record := f.self()
-	record.Process = uuid.NewString()
-	for ctx.Err() == nil {
-		f.gate.Await(ctx)
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := f.sources.Hosts.Put(callCtx, f.settings.Node, record)
-		cancel()
-		if err == nil {
-			f.logger.Info("stated this host in the store", "process", record.Process)
-			return
-		}
-		f.logger.Warn("could not state this host in the store", "error", err)
-		wait(ctx, recordPause)
-	}
-}
-
 func (f *Forwarder) adoptCatalog(update follower.Update[*broker.Catalog]) {
 	f.feeds.catalogs.Publish(update)
 	for _, item := range update.Items {
@@ -342,18 +323,6 @@
 	f.logger.Info("zones to leave changed", "at", update.At, "zones", zones)
 }
 
-func (f *Forwarder) learnHosts(update follower.Update[broker.HostRecord]) {
-	f.feeds.hosts.Publish(update)
-	hosts := make(map[string]broker.HostRecord, len(update.Items))
-	for name, item := range update.Items {
-		hosts[name] = item.Value
-	}
-	f.prober.SetHosts(hosts)
-	f.relays.Set(f.relayAddresses())
-	f.relays.SetReserves(f.reserves())
-	f.share()
-}
-
 // share takes this host's part in serving callers from the hosts that are known now.
 func (f *Forwarder) share() {
 	serving := f.serving()
@@ -380,16 +349,6 @@
 	return true
 }
 
-// watchHosts asks the other hosts in turn whether they take requests.
-func (f *Forwarder) watchHosts(ctx context.Context) {
-	for ctx.Err() == nil {
-		started := time.Now()
-		f.prober.Ask(ctx, f.candidates())
-		f.share()
-		wait(ctx, prober.DefaultInterval-time.Since(started))
-	}
-}
-
 // expire drops servers whose entries did not come back after an outage of the store.
 func (f *Forwarder) expire(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -397,7 +356,7 @@
 		if next := f.registrar.Expire(time.Now()); !next.IsZero() {
 			pause = min(pause, time.Until(next))
 		}
-		wait(ctx, max(pause, time.Millisecond))
+		waiter.Wait(ctx, max(pause, time.Millisecond))
 	}
 }
 
@@ -408,15 +367,3 @@
 	}
 	return socket, nil
 }
-
-func wait(ctx context.Context, delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/forwarder/hosts_test.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
+)
+
+// silentHosts answers for all hosts but those named.
+type silentHosts struct{ names atomic.Pointer[[]string] }
+
+func (s *silentHosts) check(_ context.Context, host broker.HostRecord) (bool, error) {
+	if slices.Contains(*s.names.Load(), host.Name) {
+		return false, errors.New("no answer")
+	}
+	return true, nil
+}
+
+// newCensus returns a host that knows four others.
+func newCensus(silent *silentHosts) *Forwarder {
+	f := New(Dependencies{
+		Settings: Settings{Node: "self"}, Probe: silent.check, Metrics: metrics.NewSet(),
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	records := map[string]broker.HostRecord{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		records[name] = broker.HostRecord{Name: name}
+	}
+	f.prober.SetHosts(records)
+	return f
+}
+
+// TestCensus guards against records of lost hosts that stay for good, and against removing a host that has answered in
+// between, or most hosts by one that is cut off.
+func TestCensus(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent func(round int) []string
+		want   []string
+	}{
+		{"one host lost", func(int) []string { return []string{"b"} }, []string{"b"}},
+		{"answered once in between", func(round int) []string {
+			if round == goneAnswers/2 {
+				return nil
+			}
+			return []string{"b"}
+		}, nil},
+		{"cut off from most", func(int) []string { return []string{"a", "b", "c"} }, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			silent := &silentHosts{}
+			f, missed := newCensus(silent), map[string]int{}
+			var got []string
+			for round := range goneAnswers {
+				names := tt.silent(round)
+				silent.names.Store(&names)
+				if got = f.census(t.Context(), missed); round < goneAnswers-1 && len(got) > 0 {
+					t.Fatalf("gone after %d rounds: got %v, want none", round+1, got)
+				}
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("gone: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestAwaitRemoval guards against a host that is not stated again after its record was removed, and against calls to the
+// store while it is there.
+func TestAwaitRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCensus(&silentHosts{})
+		own := map[string]broker.Item[broker.HostRecord]{"self": {Name: "self"}}
+		f.records.set(own)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		begin := time.Now()
+		var returned atomic.Int64
+		go func() {
+			f.awaitRemoval(ctx)
+			returned.Store(int64(time.Since(begin)))
+		}()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if got := returned.Load(); got != 0 {
+			t.Fatalf("returned after %v while the record is there", time.Duration(got))
+		}
+		f.learnHosts(follower.Update[broker.HostRecord]{Items: map[string]broker.Item[broker.HostRecord]{}})
+		time.Sleep(3 * recordCheck)
+		synctest.Wait()
+		if got := time.Duration(returned.Load()); got == 0 || got > time.Minute+3*recordCheck {
+			t.Errorf("returned after %v, want within %v of the removal", got, 3*recordCheck)
+		}
+	})
+}
--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 // keepList recalls the servers that the hosts knew, in case their entries have expired while the store was away, and then
@@ -13,7 +14,7 @@
 func (f *Forwarder) keepList(ctx context.Context) {
 	written := f.recallList(ctx)
 	for ctx.Err() == nil {
-		wait(ctx, listInterval)
+		waiter.Wait(ctx, listInterval)
 		known := f.registrar.Known()
 		if !f.writesList() || len(known) == 0 || slices.EqualFunc(known, written, broker.Registration.Equal) {
 			continue
@@ -43,7 +44,7 @@
 		cancel()
 		if err != nil {
 			f.logger.Warn("could not read the list of servers", "error", err)
-			wait(ctx, recordPause)
+			waiter.Wait(ctx, recordPause)
 			continue
 		}
 		for _, item := range items {
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 const (
@@ -128,7 +129,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	wait(ctx, reportInterval)
+	waiter.Wait(ctx, reportInterval)
 	for len(reports) < maxReports {
 		select {
 		case report := <-q.reports:
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -16,6 +16,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 	"github.com/yuccarock/yuccarock/internal/tracer"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 const (
@@ -100,7 +101,7 @@
 				return
 			}
 			p.logger.Warn("could not open the peer address again", "error", err)
-			wait(context.Background(), reopenInterval)
+			waiter.Wait(context.Background(), reopenInterval)
 		}
 	}()
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -34,6 +34,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/transport/storer"
 	"github.com/yuccarock/yuccarock/internal/loader"
 	"github.com/yuccarock/yuccarock/internal/tracer"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
 
@@ -240,7 +241,7 @@
 		if since == nil || time.Since(*since) >= settleTime {
 			return
 		}
-		wait(ctx, time.Until(since.Add(settleTime)))
+		waiter.Wait(ctx, time.Until(since.Add(settleTime)))
 	}
 }
 
@@ -281,7 +282,7 @@
 			s.logger.Warn("could not hand over before the stop", "error", err)
 		}
 	})
-	wait(ctx, timeToLive+staleGrace)
+	waiter.Wait(ctx, timeToLive+staleGrace)
 	s.drainer.Refuse()
 	err := s.drainer.Wait(ctx)
 	<-left
@@ -317,12 +318,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func wait(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
