--- a/internal/broker/coordination/budgeter/shards.go
+++ b/internal/broker/coordination/budgeter/shards.go
@@ -6,6 +6,22 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
+const (
+	// hostMargin is the part of the allowed further attempts that hosts use. The rest covers windows in which requests of
+	// one host earn what another has spent.
+	hostMargin = 0.85
+	// spareHosts are counted beside the hosts that serve callers, because one that takes over brings a budget of its own.
+	spareHosts = 1
+)
+
+// HostShare returns what each request earns at a host, of the share that all hosts together may send further.
+func HostShare(share float64) float64 { return share * hostMargin }
+
+// HostBurst returns one host's part of the further attempts that all hosts together may send beside that share.
+func HostBurst(slack, hosts int) int {
+	return max(1, int(float64(slack)*hostMargin)/(hosts+spareHosts))
+}
+
 // Shards holds one budget for each shard, whatever the request kind, as hosts have to keep the sum of all further
 // attempts at a service within a share of its requests and a slack.
 type Shards struct {
--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -46,8 +46,8 @@
 	Quarantined time.Duration // how long a quarantined fingerprint is kept
 	Trial       time.Duration // how long a trial may take before it counts as ended without a result
 	Entries     int           // most fingerprints kept
-	// Crashes is how many crashes without an answer in between quarantine a fingerprint; zero means two. Those less than
-	// Apart after the one before count as one.
+	// Crashes is how many crashes of different processes without an answer in between quarantine a fingerprint; zero means
+	// two. Those less than Apart after the one before count as one.
 	Crashes int
 	Apart   time.Duration
 }
@@ -88,7 +88,7 @@
 	convicted  bool
 	since      time.Time
 	first      crash
-	further    int               // crashes after the first one that count
+	further    []crash           // those after the first one that count
 	last       time.Time         // time of the last one that counts
 	holder     broker.ServerName // server of the trial
 	trialUntil time.Time
@@ -202,11 +202,11 @@
 		return nil
 	case e.first == (crash{}) && !report.Alone && now.Sub(e.since) < mergeGrace:
 		e.first = seen
-	case now.Sub(e.last) < q.options.Apart:
+	case now.Sub(e.last) < q.options.Apart || slices.Contains(e.further, seen):
 		return nil
 	default:
-		e.further, e.last = e.further+1, now
-		if e.further+1 >= q.options.Crashes {
+		e.further, e.last = append(slices.Clone(e.further), seen), now
+		if len(e.further)+1 >= q.options.Crashes {
 			e.convicted, e.since = true, now
 		}
 	}
--- a/internal/broker/coordination/quarantiner/quarantiner_test.go
+++ b/internal/broker/coordination/quarantiner/quarantiner_test.go
@@ -107,6 +107,16 @@
 				q.Report(report(server, false), epoch)
 			}
 		}, Suspect},
+		{"connections to one process", func(q *Quarantiner) {
+			for i := range 5 {
+				crash(q, time.Duration(i)*time.Second)
+			}
+		}, Suspect},
+		{"connections to two processes", func(q *Quarantiner) {
+			for i := range 6 {
+				q.Report(report([]broker.ServerName{"a1", "a2"}[i%2], false), epoch.Add(time.Duration(i)*400*time.Millisecond))
+			}
+		}, Suspect},
 		{"answered in between", func(q *Quarantiner) {
 			for i, server := range []broker.ServerName{"a1", "a2", "a3"} {
 				q.Report(report(server, false), epoch.Add(time.Duration(i)*time.Second))
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -16,6 +16,10 @@
 	// remoteCost is added to the expected time of a server in another availability zone. Traffic between zones is
 	// priced, and the way there and back takes a few milliseconds.
 	remoteCost = 8 * time.Millisecond
+	// targetMargin is kept back from the latency target, but no more than targetMarginShare of it. Callers count from
+	// before they ask where to connect and open a connection, which takes several round trips.
+	targetMargin      = 30 * time.Millisecond
+	targetMarginShare = 0.4
 	// spread is the share by which expected times vary at random, so that hosts do not all choose the same server.
 	spread = 0.2
 )
@@ -35,6 +39,15 @@
 	Budgets *budgeter.Shards
 }
 
+// NewStrategy returns the strategy of a host in a zone for the requests of a route.
+func NewStrategy(route *broker.Route, zone string, budgets *budgeter.Shards) Strategy {
+	strategy := Strategy{Direct: true, Zone: zone, Attempts: max(1, route.MaxAttempts), Budgets: budgets}
+	if target := route.LatencyTarget; route.Scatter() && target > 0 {
+		strategy.Target = target - min(targetMargin, time.Duration(float64(target)*targetMarginShare))
+	}
+	return strategy
+}
+
 // budget returns what pays for further attempts at a shard, or nil where the kind's budgets do.
 func (s *Session) budget(sh *shard) *budgeter.Budget {
 	if s.strategy.Budgets == nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -135,7 +135,7 @@
 	options.Dial = deps.Dial
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
-	f.budgets = budgeter.NewShards(retryShare(deps.Settings), retryBurst(deps.Settings, 0))
+	f.budgets = budgeter.NewShards(budgeter.HostShare(deps.Settings.RetryShare), retryBurst(deps.Settings, 0))
 	f.relays = relayer.NewRelays()
 	f.relays.SetReserves(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.fresh)
@@ -164,7 +164,9 @@
 		return err
 	}
 	f.tasks.Go(func() {
-		if err := server.Serve(entry); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(entry)
+		// A planned stop closes the socket before the server, to keep the connections.
+		if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			f.logger.Error("could not serve callers", "error", err)
 		}
 	})
@@ -331,6 +333,11 @@
 	f.registrar.Stand(!slices.ContainsFunc(serving, func(host broker.HostRecord) bool { return host.Name == f.settings.Node }))
 }
 
+// retryBurst returns this host's part of the slack for further attempts, of which so many hosts take theirs.
+func retryBurst(settings Settings, hosts int) int {
+	return budgeter.HostBurst(settings.RetrySlack, max(hosts, minEntries))
+}
+
 // Reload takes settings that may change while the host runs: the stop deadline, the budget for further attempts and the
 // seeds. It returns whether any of them changed.
 func (f *Forwarder) Reload(settings Settings) bool {
@@ -343,7 +350,7 @@
 	next.StopDeadline, next.Seeds = settings.StopDeadline, settings.Seeds
 	next.RetryShare, next.RetrySlack = settings.RetryShare, settings.RetrySlack
 	f.tunable.Store(&next)
-	f.budgets.SetShare(retryShare(next))
+	f.budgets.SetShare(budgeter.HostShare(next.RetryShare))
 	f.relays.SetReserves(f.reserves())
 	f.share()
 	return true
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -83,8 +83,8 @@
 // crashed takes that the connection to a server broke while it worked on a request.
 func (q *quarantine) crashed(request *broker.OpaqueRequest, sub *broker.SubRequest) {
 	q.take(broker.CrashReport{
-		Fingerprint: fingerprintOf(request, string(sub.Shard)), Server: sub.Server, BootID: request.ID,
-	})
+		Fingerprint: fingerprintOf(request, string(sub.Shard)), Server: sub.Server, // the name tells the process
+	}, request.ID)
 }
 
 // answered takes that a server survived a request.
@@ -94,13 +94,13 @@
 	}
 	fingerprint := fingerprintOf(request, string(sub.Shard))
 	if q.set.Standing(fingerprint, time.Now()) == quarantiner.Suspect {
-		q.take(broker.CrashReport{Fingerprint: fingerprint, Server: sub.Server, Cleared: true})
+		q.take(broker.CrashReport{Fingerprint: fingerprint, Server: sub.Server, Cleared: true}, request.ID)
 	}
 }
 
 // take applies a report of this host and passes it on to the others.
-func (q *quarantine) take(report broker.CrashReport) {
-	q.apply(report)
+func (q *quarantine) take(report broker.CrashReport, request string) {
+	q.apply(report, request)
 	select {
 	case q.reports <- report:
 	default:
@@ -108,7 +108,8 @@
 	}
 }
 
-func (q *quarantine) apply(report broker.CrashReport) {
+// apply takes a report; request is empty where another host made it.
+func (q *quarantine) apply(report broker.CrashReport, request string) {
 	if !report.Cleared {
 		q.crashes.Inc()
 	}
@@ -116,7 +117,7 @@
 	before := q.set.Standing(report.Fingerprint, now)
 	if after := q.set.Report(report, now); after == quarantiner.Quarantined && before != after {
 		q.logger.Warn("request quarantined, it crashes each server that runs it", "fingerprint", uint64(report.Fingerprint),
-			"server", report.Server, "request", report.BootID)
+			"server", report.Server, "id", request)
 	}
 }
 
@@ -149,7 +150,7 @@
 		return
 	}
 	for _, report := range reports {
-		q.apply(report)
+		q.apply(report, "")
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -22,10 +22,6 @@
 	drainTime = 250 * time.Millisecond
 	// goneTime is the same after the caller has left; servers should stop working for it soon.
 	goneTime = 100 * time.Millisecond
-	// targetMargin is kept back from the latency target, but no more than targetMarginShare of it. Callers count from
-	// before they ask where to connect and open a connection, which takes several round trips.
-	targetMargin      = 30 * time.Millisecond
-	targetMarginShare = 0.4
 	// requestLines a second, with a burst of requestLineBurst, is the volume of lines on single requests.
 	requestLines     = 40
 	requestLineBurst = 200
@@ -74,7 +70,8 @@
 	f := r.forwarder
 	var err error
 	r.core, err = scatterer.New(scatterer.Dependencies{
-		View: r.view.Tracked, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Strategy: r.strategy(),
+		View: r.view.Tracked, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Strategy: scatterer.NewStrategy(r.route, f.settings.Zone, f.budgets),
 	}, scatterer.Request{
 		Query:    broker.Query{RequestID: r.request.ID, Kind: r.kind},
 		Seen:     true,
@@ -98,17 +95,6 @@
 	r.log(elapsed)
 }
 
-func (r *run) strategy() scatterer.Strategy {
-	strategy := scatterer.Strategy{
-		Direct: true, Zone: r.forwarder.settings.Zone, Attempts: max(1, r.route.MaxAttempts), Budgets: r.forwarder.budgets,
-	}
-	if r.route.Scatter() && r.route.LatencyTarget > 0 {
-		target := r.route.LatencyTarget
-		strategy.Target = target - min(targetMargin, time.Duration(float64(target)*targetMarginShare))
-	}
-	return strategy
-}
-
 // loop ends with the answer: the core's timer at the deadline finishes the request at the latest.
 func (r *run) loop(ctx context.Context) {
 	r.apply(ctx, r.core.Start(time.Now()))
