--- /dev/null
+++ b/internal/modeler/error.go
@@ -0,0 +1,25 @@
+package modeler
+
+import "fmt"
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of Error.
+const (
+	KindUnreadable ErrorKind = "unreadable"
+	KindInvalid    ErrorKind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns what could not be done and why.
+func (e *Error) Error() string { return fmt.Sprintf("could not %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
