Report all unknown settings at once, and use connectionCost

Change: the loader decodes each field for itself and names unknown fields with their path, also nested ones, beside the values that the checks refuse. One connection more than the slots is held open only where a new one costs 4 ms or more (the users' searches state 6 ms, their viewers 1 ms).

Ruled out: a library for strict decoding (the one of the standard library stops at the first field).

--- a/internal/broker/coordination/owner/server.go
+++ b/internal/broker/coordination/owner/server.go
@@ -10,6 +10,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/admitter"
 	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
+	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
 
 // repeatBurst is how many silent attempts can be repeated in a row: connections to a server go silent together.
@@ -157,12 +158,23 @@
 	if s.owner.connections == nil || s.released.Load() {
 		return
 	}
-	ready := 0
-	if configured != nil {
-		// One more than the slots, so that probes and a broken connection cost no dialing.
-		ready = min(configured.Slots+1, configured.Connections)
+	s.owner.connections.Retain(s.name, readyConnections(configured))
+}
+
+// dearConnection is the cost of a new connection from which one more than the slots is held open, so that probes and a
+// broken connection cost no dialing. It is about one service time of the users' searches.
+const dearConnection = 4 * time.Millisecond
+
+// readyConnections returns how many connections to a server are held open ahead of need.
+func readyConnections(configured *configurator.Server) int {
+	if configured == nil {
+		return 0
+	}
+	ready := configured.Slots
+	if time.Duration(configured.ConnectionCost) >= dearConnection {
+		ready++
 	}
-	s.owner.connections.Retain(s.name, ready)
+	return min(ready, configured.Connections)
 }
 
 func (s *server) adopt(state *broker.ServerState, planned bool, now time.Time) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -1,16 +1,18 @@
 package loader
 
 import (
-	"bytes"
 	"encoding/json"
 	stderrors "errors"
 	"fmt"
-	"io"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,23 +51,53 @@
 	return Parse(data)
 }
 
-// Parse reads settings from JSON over the defaults and checks them.
+// Parse reads settings from JSON over the defaults and checks them. The error lists every fault: unknown fields and
+// values of the wrong form as well as values that are refused.
 func Parse(data []byte) (Settings, error) {
 	settings := Defaults()
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		return Settings{}, &Error{Op: "decode the settings", Kind: KindInvalid, Err: err}
-	}
-	if _, err := decoder.Token(); !stderrors.Is(err, io.EOF) {
-		return Settings{}, &Error{Op: "decode the settings", Kind: KindInvalid, Err: errors.New("data after the JSON object")}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return Settings{}, &Error{Op: "decode the settings", Kind: KindInvalid, Err: errors.Wrap(err, "not one JSON object")}
+	}
+	faults := unknown(data, reflect.TypeFor[Settings](), "")
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		// Each field for itself, because decoding ends at the first value of a wrong form.
+		one, err := json.Marshal(map[string]json.RawMessage{name: fields[name]})
+		if err == nil {
+			err = json.Unmarshal(one, &settings)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", name, err))
+		}
 	}
-	if err := check(&settings); err != nil {
+	if err := stderrors.Join(append(faults, check(&settings))...); err != nil {
 		return Settings{}, &Error{Op: "accept the settings", Kind: KindInvalid, Err: err}
 	}
 	return settings, nil
 }
 
+// unknown returns a fault for each field of a JSON object that a type does not have, also within its fields.
+func unknown(data json.RawMessage, of reflect.Type, path string) []error {
+	var fields map[string]json.RawMessage
+	if of.Kind() != reflect.Struct || json.Unmarshal(data, &fields) != nil {
+		return nil
+	}
+	types := make(map[string]reflect.Type, of.NumField())
+	for i := range of.NumField() {
+		name, _, _ := strings.Cut(of.Field(i).Tag.Get("json"), ",")
+		types[name] = of.Field(i).Type
+	}
+	var faults []error
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if types[name] == nil {
+			faults = append(faults, fmt.Errorf("%s%s: unknown field", path, name))
+			continue
+		}
+		faults = append(faults, unknown(fields[name], types[name], path+name+".")...)
+	}
+	return faults
+}
+
 // check joins all faults, so that one run shows everything that has to be corrected.
 func check(s *Settings) error {
 	var faults []error
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -18,8 +18,16 @@
 		want []string // parts of the error; none means accepted
 	}{
 		{name: "valid", give: validSettings + `}`},
-		{name: "unknown field", give: validSettings + `,"nodes":1}`, want: []string{`unknown field "nodes"`}},
-		{name: "trailing data", give: validSettings + `} {}`, want: []string{"data after the JSON object"}},
+		{name: "unknown fields", give: validSettings + `,"nodes":1,"zoom":2,"trace":{"sampel":1}}`, want: []string{
+			"nodes: unknown field", "zoom: unknown field", "trace.sampel: unknown field",
+		}},
+		{name: "unknown field beside a refused one", give: validSettings + `,"nodes":1,"logLevel":"loud"}`, want: []string{
+			"nodes: unknown field", "logLevel:",
+		}},
+		{name: "wrong forms", give: validSettings + `,"logLevel":7,"stopDeadline":"soon"}`, want: []string{
+			"logLevel:", "stopDeadline:",
+		}},
+		{name: "trailing data", give: validSettings + `} {}`, want: []string{"not one JSON object"}},
 		{
 			name: "every fault",
 			give: `{"node":"A 1","zone":"","entry":"0.0.0.0:1","store":"ftp://x","trace":{"exporter":"file","sample":2},
