Let the number of serving hosts follow the load, over more than one zone

Causes: the hosts named to callers were the fewest with 1.2 cores whatever the load. A host that had missed an answer was named until it had missed two.

Changes: hosts state the processor time that they use with their readiness; callers are sent to as many hosts as have that in 0.35 of their processors. A host of a second zone is named where all would be in one. One that missed an answer is left out while others have the capacity. Gauges show the serving hosts and the wanted cores.

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -35,8 +35,14 @@
 	DefaultTimeout = 700 * time.Millisecond
 )
 
+// Answer is what a host says of itself.
+type Answer struct {
+	Ready bool
+	Load  float64 // processor cores in use
+}
+
 // Check asks a host whether it takes requests; an error means that it did not answer.
-type Check func(ctx context.Context, host broker.HostRecord) (ready bool, err error)
+type Check func(ctx context.Context, host broker.HostRecord) (Answer, error)
 
 // Options are the settings of a prober.
 type Options struct {
@@ -59,6 +65,7 @@
 type host struct {
 	record  broker.HostRecord
 	machine *fsm.FSM
+	load    float64 // of the last answer
 }
 
 // New returns a prober without hosts.
@@ -100,18 +107,19 @@
 	}})
 }
 
-// Usable returns the other hosts that callers may be sent to.
-func (p *Prober) Usable() []broker.HostRecord {
+// Usable returns the other hosts that callers may be sent to, apart from them those that missed their last answer.
+func (p *Prober) Usable() (sound, suspect []broker.HostRecord) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := make([]broker.HostRecord, 0, len(p.hosts))
 	for _, held := range p.hosts {
 		switch held.machine.Current() {
-		case StateNew, StateReady, StateSuspect:
-			usable = append(usable, held.record)
+		case StateNew, StateReady:
+			sound = append(sound, held.record)
+		case StateSuspect:
+			suspect = append(suspect, held.record)
 		}
 	}
-	return usable
+	return sound, suspect
 }
 
 // Known returns the other hosts that have stated themselves, whatever their state.
@@ -125,6 +133,17 @@
 	return known
 }
 
+// Load returns the processor cores that the other hosts use, as they said last.
+func (p *Prober) Load() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := 0.0
+	for _, held := range p.hosts {
+		load += held.load
+	}
+	return load
+}
+
 // Silent returns the names of the hosts that missed their last answers.
 func (p *Prober) Silent() map[string]bool {
 	p.mu.Lock()
@@ -175,7 +194,7 @@
 func (p *Prober) ask(ctx context.Context, held *host) {
 	callCtx, cancel := context.WithTimeout(ctx, p.options.Timeout)
 	defer cancel()
-	ready, err := p.check(callCtx, held.record)
+	answer, err := p.check(callCtx, held.record)
 	if ctx.Err() != nil {
 		return
 	}
@@ -184,11 +203,12 @@
 	case err != nil:
 		event = eventMiss
 		p.misses.Inc()
-	case ready:
+	case answer.Ready:
 		event = eventAnswer
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	held.load = answer.Load
 	// A state that stays is reported as an error by the library and needs no action.
 	_ = held.machine.Event(ctx, event)
 }
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -161,6 +162,7 @@
 }
 
 func (f *Forwarder) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(HeaderLoad, strconv.FormatFloat(f.load.own(), 'f', 3, 64))
 	if err := f.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,6 +109,7 @@
 	relays     *relayer.Relays
 	records    records
 	isolation  isolation
+	load       load
 	quarantine *quarantine
 	feeds      feeds
 	tasks      sync.WaitGroup
@@ -140,6 +141,8 @@
 	f.relays.SetReserves(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.fresh)
 	f.quarantine = newQuarantine(f.set, f.logger)
+	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
+	f.set.NewGauge("yuccarock_wanted_cores", f.load.capacity)
 	f.prober = prober.New(deps.Probe, prober.Options{
 		Self: deps.Settings.Node, Timeout: prober.DefaultTimeout,
 	}, f.set, f.logger)
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -93,6 +93,8 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		f.prober.Ask(ctx, f.candidates())
+		f.load.sample(time.Now(), processorTime())
+		f.load.follow(f.prober.Load() + f.load.own())
 		f.share()
 		waiter.Wait(ctx, prober.DefaultInterval-time.Since(started))
 	}
--- a/internal/forwarder/hosts_test.go
+++ b/internal/forwarder/hosts_test.go
@@ -14,16 +14,20 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 )
 
 // silentHosts answers for all hosts but those named.
-type silentHosts struct{ names atomic.Pointer[[]string] }
+type silentHosts struct {
+	names atomic.Pointer[[]string]
+	load  float64 // that each of the others states
+}
 
-func (s *silentHosts) check(_ context.Context, host broker.HostRecord) (bool, error) {
+func (s *silentHosts) check(_ context.Context, host broker.HostRecord) (prober.Answer, error) {
 	if slices.Contains(*s.names.Load(), host.Name) {
-		return false, errors.New("no answer")
+		return prober.Answer{}, errors.New("no answer")
 	}
-	return true, nil
+	return prober.Answer{Ready: true, Load: s.load}, nil
 }
 
 // newCensus returns a host that knows four others.
--- /dev/null
+++ b/internal/forwarder/load_test.go
@@ -0,0 +1,112 @@
+package forwarder
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+)
+
+// TestLoad guards the capacity that serves callers: it follows the load up at once, and down slowly.
+func TestLoad(t *testing.T) {
+	var l load
+	now := time.Now()
+	processor := time.Duration(0)
+	for range 30 {
+		l.sample(now, processor)
+		now, processor = now.Add(time.Second), processor+300*time.Millisecond
+	}
+	if got := l.own(); math.Abs(got-0.3) > 0.01 {
+		t.Errorf("cores in use: got %.3f, want 0.3", got)
+	}
+	if got := l.capacity(); got != minCapacity {
+		t.Errorf("capacity without load: got %.2f, want %.2f", got, minCapacity)
+	}
+	l.follow(1.4)
+	if got := l.capacity(); math.Abs(got-4) > 0.01 {
+		t.Errorf("capacity at 1.4 cores in use: got %.2f, want 4", got)
+	}
+	l.follow(0)
+	if got := l.capacity(); got < 3.9 {
+		t.Errorf("capacity a second after the load: got %.2f, want 3.9 or more", got)
+	}
+	for range 300 {
+		l.follow(0)
+	}
+	if got := l.capacity(); got != minCapacity {
+		t.Errorf("capacity five minutes after the load: got %.2f, want %.2f", got, minCapacity)
+	}
+}
+
+// TestServingHosts guards against few hosts that carry more than their processors bear.
+func TestServingHosts(t *testing.T) {
+	none := []string{}
+	silent := &silentHosts{load: 0.2}
+	silent.names.Store(&none)
+	f := newCensus(silent)
+	records := map[string]broker.HostRecord{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		records[name] = broker.HostRecord{Name: name, Capacity: 0.4}
+	}
+	f.prober.SetHosts(records)
+	if got := len(f.serving()); got != minEntries {
+		t.Errorf("hosts that serve without load: got %d, want %d", got, minEntries)
+	}
+	f.prober.Ask(t.Context(), []string{"a", "b", "c"})
+	f.load.follow(f.prober.Load() + f.load.own())
+	// 0.6 cores in use want 1.71 cores, which five hosts have.
+	if got := len(f.serving()); got != 5 {
+		t.Errorf("hosts that serve with 0.6 cores in use: got %d, want 5", got)
+	}
+}
+
+// TestSuspectHosts guards against callers that are sent to a host which has missed its last answer while others can take
+// its place, and against leaving it out where none can.
+func TestSuspectHosts(t *testing.T) {
+	for _, names := range [][]string{{"a", "b", "c", "d"}, {"a", "b", "c"}} {
+		silent := &silentHosts{}
+		f := newCensus(silent)
+		records := map[string]broker.HostRecord{}
+		for _, name := range names {
+			records[name] = broker.HostRecord{Name: name, Capacity: 0.4}
+		}
+		f.prober.SetHosts(records)
+		silent.names.Store(&[]string{"a"})
+		f.prober.Ask(t.Context(), names)
+		named := slices.ContainsFunc(f.serving(), func(host broker.HostRecord) bool { return host.Name == "a" })
+		if want := len(names) == minEntries; named != want {
+			t.Errorf("%d hosts, one silent once: got named %v, want %v", len(names), named, want)
+		}
+	}
+}
+
+// TestSecondZone guards against callers that are sent to hosts of one zone only, which can be lost as a whole.
+func TestSecondZone(t *testing.T) {
+	var hosts []broker.HostRecord
+	for i, zone := range []string{"a", "a", "a", "a", "b", "b", "b"} {
+		hosts = append(hosts, broker.HostRecord{Name: fmt.Sprintf("%s%d", zone, i), Zone: zone, Capacity: 0.4})
+	}
+	tests := []struct {
+		name     string
+		locality map[string]int
+		want     []string
+	}{
+		{"most servers in one zone", map[string]int{"a": 4, "b": 2}, []string{"a0", "a1", "a2", "b4"}},
+		{"servers in both zones", map[string]int{"a": 3, "b": 3}, []string{"a0", "b4", "a1"}},
+	}
+	for _, tt := range tests {
+		var got []string
+		for _, host := range choose(slices.Clone(hosts), tt.locality, minCapacity) {
+			got = append(got, host.Name)
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	if got := choose(slices.Clone(hosts[:4]), nil, minCapacity); len(got) != 3 {
+		t.Errorf("one zone only: got %d hosts, want 3", len(got))
+	}
+}
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -44,11 +44,26 @@
 
 // serving returns the hosts that callers are sent to.
 func (f *Forwarder) serving() []broker.HostRecord {
-	hosts := f.prober.Usable()
+	hosts, suspect := f.prober.Usable()
 	if f.Ready() == nil {
 		hosts = append(hosts, f.self())
 	}
-	return choose(hosts, f.locality())
+	wanted, locality := f.load.capacity(), f.locality()
+	chosen := choose(hosts, locality, wanted)
+	// One answer that is missed can be a hiccup, and leaving out a host costs little while others take its place.
+	if len(suspect) > 0 && !enough(chosen, wanted) {
+		chosen = choose(append(hosts, suspect...), locality, wanted)
+	}
+	return chosen
+}
+
+// enough returns whether hosts have the wanted capacity.
+func enough(hosts []broker.HostRecord, wanted float64) bool {
+	capacity := 0.0
+	for i := range hosts {
+		capacity += hosts[i].Capacity
+	}
+	return len(hosts) >= maxEntries || len(hosts) >= minEntries && capacity >= wanted
 }
 
 func (f *Forwarder) self() broker.HostRecord {
@@ -60,15 +75,28 @@
 
 func compareNames(a, b broker.HostRecord) int { return cmp.Compare(a.Name, b.Name) }
 
-// choose returns the hosts to send callers to, the first in order that are enough.
-func choose(hosts []broker.HostRecord, locality map[string]int) []broker.HostRecord {
+// choose returns the hosts to send callers to, the first in order that have the wanted capacity.
+func choose(hosts []broker.HostRecord, locality map[string]int, wanted float64) []broker.HostRecord {
 	hosts = order(hosts, locality)
-	capacity, count := 0.0, 0
-	for count < min(len(hosts), maxEntries) && (count < minEntries || capacity < minCapacity) {
-		capacity += hosts[count].Capacity
+	count := 0
+	for count < len(hosts) && !enough(hosts[:count], wanted) {
 		count++
 	}
-	return hosts[:count]
+	return withSecondZone(hosts, count)
+}
+
+// withSecondZone returns the first hosts, and one of another zone where they are all in one: a zone can be lost as a whole,
+// and its callers may then reach none of the hosts that would tell them other addresses.
+func withSecondZone(hosts []broker.HostRecord, count int) []broker.HostRecord {
+	chosen := hosts[:count:count]
+	elsewhere := func(host broker.HostRecord) bool { return host.Zone != hosts[0].Zone }
+	if count == 0 || slices.ContainsFunc(chosen, elsewhere) {
+		return chosen
+	}
+	if i := slices.IndexFunc(hosts[count:], elsewhere); i >= 0 {
+		chosen = append(chosen, hosts[count+i])
+	}
+	return chosen
 }
 
 // order sorts hosts by preference: those of the zones with the most servers first, of these the largest, and of equal
