End planned stops in time where callers never pause

Cause: a host that stops waits for a quiet moment until 1.5 s before its deadline, but counted that from the end of its first wait of 3 s. Where callers went on sending, the deadline came first, and requests in progress were cut off.

Change: the time counts from the signal, and refusals have 0.1 s to leave before the server closes.

Ruled out: requests that cross the close of an idle connection (the request had run).

Before: TestPlannedStopUnderLoad fails with 8 requests left at the deadline; after: it passes, as does TestPlannedStop.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,8 @@
 	staleCallers = 3
 	// finishTime is kept back from the stop deadline for requests in progress.
 	finishTime = 1500 * time.Millisecond
+	// refusalTime is how long refusals may take to leave after the last request in progress has ended.
+	refusalTime = 100 * time.Millisecond
 	// quietTime without a request shows that callers have left this host.
 	quietTime = 500 * time.Millisecond
 	// expireInterval is the pause between looks for servers whose entries did not come back.
@@ -201,8 +203,11 @@
 	_ = entry.Close()
 	f.drainer.Refuse()
 	err := f.drainer.Wait(ctx)
-	// The last answers have been given to the operating system by now. Closing idle connections any earlier would cut off
-	// requests that are on their way on them.
+	// Closing idle connections any earlier would cut off requests that are on their way on them. Refusals are not counted as
+	// in progress and may still be on their way out.
+	closing, cancelClosing := context.WithTimeout(force, refusalTime)
+	defer cancelClosing()
+	_ = server.Shutdown(closing)
 	_ = server.Close()
 	if err != nil {
 		return &Error{Op: "stop without cutting off requests", Kind: KindDeadline, Err: err}
@@ -214,8 +219,8 @@
 // server is not shut down meanwhile: that closes idle connections on which a request may just have arrived.
 func (f *Forwarder) awaitQuiet(ctx context.Context) {
 	deadline := f.tunable.Load().StopDeadline
-	waiter.Wait(ctx, min(staleCallers*timeToLive, deadline-finishTime))
 	last := time.Now().Add(deadline - finishTime)
+	waiter.Wait(ctx, min(staleCallers*timeToLive, deadline-finishTime))
 	for time.Now().Before(last) && ctx.Err() == nil {
 		quiet := time.Since(f.epoch) - time.Duration(f.lastRequest.Load())
 		if f.drainer.Active() == 0 && quiet >= quietTime {
