Glance at the store while a watch of it is in progress

Reading the code: a host whose relays do not answer watches the store, for up to 15 s; 5 s later the relays may be asked again, and the cheap looks beside the watch ended then, although the watch went on.

Change: the looks go on as long as the watch of the store does.

Ruled out: the relays of other hosts (the log names the store), a late adoption (70 ms from reading to force).

Before: TestGlanceBesideWatch got 0 looks, after 1.

--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -140,3 +140,46 @@
 		t.Errorf("Watch() behind the log: got %v, want ErrRelist", err)
 	}
 }
+
+// waitingSource is a store whose watches wait until they are released.
+type waitingSource struct {
+	storeSource
+
+	release chan struct{}
+}
+
+func (s *waitingSource) Watch(context.Context, uint64, time.Duration) ([]broker.Change[string], uint64, error) {
+	<-s.release
+	return nil, 100, nil
+}
+
+// TestGlanceBesideWatch guards against a watch of the store that stays without events unnoticed, because it was begun while
+// no relay answered and goes on after one may be asked again.
+func TestGlanceBesideWatch(t *testing.T) {
+	r, relays := newRelay(t), NewRelays()
+	store := &waitingSource{release: make(chan struct{})}
+	relays.Set([]netip.AddrPort{r.address})
+	relays.fail(r.address, time.Now())
+	source := NewSource("test", store, relays)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_, _, _ = source.Watch(t.Context(), 1, time.Minute)
+	}()
+	for !source.watchesStore.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	relays.fail(r.address, time.Now().Add(-2*badTime)) // the relay may be asked again
+	if _, err := source.Glance(t.Context(), 1, time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	if got := store.calls.Load(); got != 1 {
+		t.Errorf("glances at the store during its watch: got %d, want 1", got)
+	}
+	close(store.release)
+	<-watched
+	_, _ = source.Glance(t.Context(), 1, time.Millisecond)
+	if got := store.calls.Load(); got != 1 {
+		t.Errorf("glances at the store after the watch: got %d, want still 1", got)
+	}
+}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -116,6 +117,8 @@
 	name   string
 	direct broker.Source[T]
 	relays *Relays
+	// watchesStore is whether a watch of the store is in progress; it goes on after a relay may be asked again.
+	watchesStore atomic.Bool
 
 	mu   sync.Mutex
 	from netip.AddrPort // relay of the last answer
@@ -179,7 +182,9 @@
 ) ([]broker.Change[T], uint64, error) {
 	relay, ok := s.relays.pick(time.Now())
 	if !ok {
+		s.watchesStore.Store(true)
 		changes, at, err := s.direct.Watch(ctx, after, wait)
+		s.watchesStore.Store(false)
 		s.advance(at)
 		return changes, at, err
 	}
@@ -201,7 +206,7 @@
 
 // Glance looks at the store where this host follows it itself; a relay looks for the hosts that ask it.
 func (s *Source[T]) Glance(ctx context.Context, after uint64, wait time.Duration) (bool, error) {
-	if s.relays.Direct() {
+	if s.relays.Direct() || s.watchesStore.Load() {
 		return s.direct.Glance(ctx, after, wait)
 	}
 	timer := time.NewTimer(wait)
