Use one piece of code where the change had written a second

- storer waits with the function of waiter, which was its twin.
- Hosts look for their records in the feed that publishes them; a second copy was kept for it.
- Owners and hosts build fingerprints with quarantiner.Fingerprint; a host hashes a request's content once for all its services (its fingerprints change, which nothing keeps).
- choose adds capacities up once in place of summing them anew for each host.
- Both choices of a replica share the check whether one may be tried; both requests to another host share their exchange.
- The quarantine's entry has one list of crashes in place of a first and further ones; the model loses a field that nothing read, and functions are named by what they do.

Behaviour is meant to stay. Ruled out: the loader's walk for unknown fields as part of the configurator's assigner, which has no defaults, maps or optional fields. Tests of the touched packages pass; two calls in tests follow the signature of choose.

--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/holder"
 )
@@ -87,8 +89,7 @@
 type entry struct {
 	convicted  bool
 	since      time.Time
-	first      crash
-	further    []crash           // those after the first one that count
+	crashes    []crash           // those that count, the first at [0]; the zero value there was merged
 	last       time.Time         // time of the last one that counts
 	holder     broker.ServerName // server of the trial
 	trialUntil time.Time
@@ -107,6 +108,16 @@
 	return &Quarantiner{options: options, held: holder.New(&entries{})}
 }
 
+// Fingerprint identifies a request by its parts; zero is reserved for none.
+func Fingerprint(parts ...string) broker.Fingerprint {
+	hash := xxhash.New()
+	for _, part := range parts {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	return broker.Fingerprint(max(1, hash.Sum64()))
+}
+
 // Empty returns whether every fingerprint is clear.
 func (q *Quarantiner) Empty() bool { return len(*q.held.Load()) == 0 }
 
@@ -197,16 +208,16 @@
 		}
 		e.holder, e.trialUntil = report.Server, now.Add(q.options.Trial)
 	case !ok:
-		e = entry{since: now, last: now, first: seen}
-	case e.convicted || e.first == seen:
+		e = entry{since: now, last: now, crashes: []crash{seen}}
+	case e.convicted || slices.Contains(e.crashes, seen):
 		return nil
-	case e.first == (crash{}) && !report.Alone && now.Sub(e.since) < mergeGrace:
-		e.first = seen
-	case now.Sub(e.last) < q.options.Apart || slices.Contains(e.further, seen):
+	case e.crashes[0] == (crash{}) && !report.Alone && now.Sub(e.since) < mergeGrace:
+		e.crashes = []crash{seen}
+	case now.Sub(e.last) < q.options.Apart:
 		return nil
 	default:
-		e.further, e.last = append(slices.Clone(e.further), seen), now
-		if len(e.further)+1 >= q.options.Crashes {
+		e.crashes, e.last = append(slices.Clone(e.crashes), seen), now
+		if len(e.crashes) >= q.options.Crashes {
 			e.convicted, e.since = true, now
 		}
 	}
@@ -224,7 +235,7 @@
 		next := maps.Clone(*current)
 		for _, fingerprint := range list.Suspects {
 			if e, ok := next[fingerprint]; !ok || q.expired(&e, now) {
-				next[fingerprint] = entry{since: now}
+				next[fingerprint] = entry{since: now, crashes: make([]crash, 1)}
 			}
 		}
 		for _, fingerprint := range list.Quarantined {
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -62,6 +62,14 @@
 	f.changed = make(chan struct{})
 }
 
+// Find returns the item of a name as published last; known is false before the first Publish.
+func (f *Feed[T]) Find(name string) (item broker.Item[T], found, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	item, found = f.items[name]
+	return item, found, f.items != nil
+}
+
 // record appends what an update changed to the log.
 func (f *Feed[T]) record(update follower.Update[T]) {
 	for name, item := range update.Items {
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -95,15 +95,23 @@
 		return &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
 	}
 	request.Header.Set("Content-Type", "application/json")
+	_, err = r.exchange(op, request)
+	return err
+}
+
+// exchange sends a request to another host and returns the body of its answer.
+func (r *Relays) exchange(op string, request *http.Request) ([]byte, error) {
 	response, err := r.client.Do(request)
 	if err != nil {
-		return &Error{Op: op, Kind: KindUnreachable, Err: errors.WithStack(err)}
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: errors.WithStack(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode/100 != 2 {
-		return &Error{Op: op, Kind: KindRefused, Err: errors.New(response.Status)}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil || response.StatusCode/100 != 2 {
+		return nil, &Error{Op: op, Kind: KindRefused, Err: errors.Errorf("%s: %s: %v",
+			response.Status, strings.TrimSpace(string(data[:min(len(data), 100)])), err)}
 	}
-	return nil
+	return data, nil
 }
 
 func (r *Relays) fail(relay netip.AddrPort, now time.Time) {
@@ -240,23 +248,18 @@
 	var answer reply[T]
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	op := "ask " + relay.String()
 	url := fmt.Sprintf("http://%s%s?%s", relay, Path(s.name), query)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
+		return answer, &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
 	}
-	response, err := s.relays.client.Do(request)
+	data, err := s.relays.exchange(op, request)
 	if err != nil {
-		return answer, &Error{Op: "ask " + relay.String(), Kind: KindUnreachable, Err: errors.WithStack(err)}
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
-	if err != nil || response.StatusCode != http.StatusOK {
-		return answer, &Error{Op: "ask " + relay.String(), Kind: KindRefused, Err: errors.Errorf("%s: %s: %v",
-			response.Status, strings.TrimSpace(string(data[:min(len(data), 100)])), err)}
+		return answer, err
 	}
 	if err := json.Unmarshal(data, &answer); err != nil {
-		return answer, &Error{Op: "ask " + relay.String(), Kind: KindMalformed, Err: errors.WithStack(err)}
+		return answer, &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
 	}
 	return answer, nil
 }
--- a/internal/broker/coordination/scatterer/choice.go
+++ b/internal/broker/coordination/scatterer/choice.go
@@ -58,15 +58,11 @@
 	var warm, cold sample
 	reason := broker.ReasonNoReplica
 	for _, replica := range sh.tracked.Replicas {
-		state := replica.State()
-		if refused := s.unfit(replica, state); refused != broker.ReasonNone {
-			reason = clearest(reason, refused)
+		var found candidate
+		if found, reason = s.consider(sh, replica, reason); found.server == nil {
 			continue
 		}
-		if sh.tried(replica.Server, state.Owner) {
-			continue
-		}
-		found := candidate{server: replica.Server, state: state}
+		state := found.state
 		switch {
 		case state.Phase == broker.PhaseWarm:
 			s.offer(&warm, found)
@@ -87,6 +83,19 @@
 	}
 }
 
+// consider returns a replica as a candidate, or none where it is unfit or was tried, with the clearer of the reason so far
+// and its own.
+func (s *Session) consider(sh *shard, replica tracker.Replica, reason broker.Reason) (candidate, broker.Reason) {
+	state := replica.State()
+	if refused := s.unfit(replica, state); refused != broker.ReasonNone {
+		return candidate{}, clearest(reason, refused)
+	}
+	if sh.tried(replica.Server, state.Owner) {
+		return candidate{}, reason
+	}
+	return candidate{server: replica.Server, state: state}, reason
+}
+
 // unfit returns why a replica cannot serve the pinned snapshot and partitioning, or ReasonNone.
 func (s *Session) unfit(replica tracker.Replica, state *broker.ServerState) broker.Reason {
 	switch {
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -109,24 +109,19 @@
 	var cold []candidate
 	reason := broker.ReasonNoReplica
 	for _, replica := range sh.tracked.Replicas {
-		state := replica.State()
-		if refused := s.unfit(replica, state); refused != broker.ReasonNone {
-			reason = clearest(reason, refused)
-			continue
-		}
-		if sh.tried(replica.Server, state.Owner) {
+		var found candidate
+		if found, reason = s.consider(sh, replica, reason); found.server == nil {
 			continue
 		}
 		if replica.Gone(s.view.Table.Server(replica.Name).Address) {
 			reason = clearest(reason, broker.ReasonUnreachable)
 			continue
 		}
-		found := candidate{server: replica.Server, state: state}
 		if replica.Limited(now) {
 			cold = append(cold, found)
 			continue
 		}
-		if cost := s.cost(replica, state, now); best.server == nil || cost < least {
+		if cost := s.cost(replica, found.state, now); best.server == nil || cost < least {
 			best, least = found, cost
 		}
 	}
--- a/internal/broker/transport/storer/bucket.go
+++ b/internal/broker/transport/storer/bucket.go
@@ -1,7 +1,6 @@
 package storer
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -37,18 +36,3 @@
 	b.tokens--
 	return delay, true
 }
-
-// pause waits and returns whether ctx goes on.
-func pause(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/broker/transport/storer/settle.go
+++ b/internal/broker/transport/storer/settle.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 // PutSettled writes like Put and, after a lost reply, reads back until it is known whether the write took effect
@@ -30,7 +31,7 @@
 		Multiplier:          backoff.DefaultMultiplier,
 		RandomizationFactor: backoff.DefaultRandomizationFactor,
 	}
-	for pause(ctx, policy.NextBackOff()) {
+	for waiter.Wait(ctx, policy.NextBackOff()) {
 		next, readErr := s.following(ctx, key, version)
 		switch {
 		case readErr != nil:
--- a/internal/broker/transport/storer/storer.go
+++ b/internal/broker/transport/storer/storer.go
@@ -14,6 +14,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 // MaxValue is the largest value of an object in bytes.
@@ -188,7 +189,7 @@
 		return answer{}, err
 	}
 	delay, ok := s.budget.reserve(remaining(ctx))
-	if !ok || !pause(ctx, delay) {
+	if !ok || !waiter.Wait(ctx, delay) {
 		return answer{}, failure(c.op, KindUnavailable, "the rate budget allows no call before the deadline")
 	}
 	for attempt := 1; ; attempt++ {
@@ -197,7 +198,7 @@
 		if err == nil || KindOf(err) != KindUnavailable || attempt == s.options.Attempts {
 			return got, err
 		}
-		if !pause(ctx, policy.NextBackOff()) {
+		if !waiter.Wait(ctx, policy.NextBackOff()) {
 			return answer{}, err
 		}
 		if _, ok := s.budget.reserve(0); !ok {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,7 +109,6 @@
 	prober     *prober.Prober
 	gate       *follower.Gate
 	relays     *relayer.Relays
-	records    records
 	isolation  isolation
 	load       load
 	quarantine *quarantine
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -24,26 +23,6 @@
 	goneAnswers    = 10
 )
 
-// records are the hosts' statements of themselves with their revisions, as the store had them last.
-type records struct {
-	mu    sync.Mutex
-	items map[string]broker.Item[broker.HostRecord]
-}
-
-func (r *records) set(items map[string]broker.Item[broker.HostRecord]) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.items = items
-}
-
-// find returns the record of a host; known is false before the first reading.
-func (r *records) find(name string) (item broker.Item[broker.HostRecord], found, known bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	item, found = r.items[name]
-	return item, found, r.items != nil
-}
-
 // announce puts this host into the store, so that the others can find it, and again where its record was removed while
 // the others could not reach it.
 func (f *Forwarder) announce(ctx context.Context) {
@@ -67,7 +46,7 @@
 // awaitRemoval returns once two looks in a row found no record of this host.
 func (f *Forwarder) awaitRemoval(ctx context.Context) {
 	for missing := 0; missing < 2 && waiter.Wait(ctx, recordCheck); {
-		if _, found, known := f.records.find(f.settings.Node); found || !known {
+		if _, found, known := f.feeds.hosts.Find(f.settings.Node); found || !known {
 			missing = 0
 		} else {
 			missing++
@@ -77,7 +56,6 @@
 
 func (f *Forwarder) learnHosts(update follower.Update[broker.HostRecord]) {
 	f.feeds.hosts.Publish(update)
-	f.records.set(update.Items)
 	hosts := make(map[string]broker.HostRecord, len(update.Items))
 	for name, item := range update.Items {
 		hosts[name] = item.Value
@@ -143,7 +121,7 @@
 }
 
 func (f *Forwarder) removeRecord(ctx context.Context, name string) {
-	item, found, _ := f.records.find(name)
+	item, found, _ := f.feeds.hosts.Find(name)
 	if !found {
 		return
 	}
--- a/internal/forwarder/hosts_test.go
+++ b/internal/forwarder/hosts_test.go
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newCensus(&silentHosts{})
 		own := map[string]broker.Item[broker.HostRecord]{"self": {Name: "self"}}
-		f.records.set(own)
+		f.learnHosts(follower.Update[broker.HostRecord]{Items: own})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		begin := time.Now()
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -99,14 +99,15 @@
 	}
 	for _, tt := range tests {
 		var got []string
-		for _, host := range choose(slices.Clone(hosts), tt.locality, minCapacity) {
+		chosen, _ := choose(slices.Clone(hosts), tt.locality, minCapacity)
+		for _, host := range chosen {
 			got = append(got, host.Name)
 		}
 		if !slices.Equal(got, tt.want) {
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
 		}
 	}
-	if got := choose(slices.Clone(hosts[:4]), nil, minCapacity); len(got) != 3 {
+	if got, _ := choose(slices.Clone(hosts[:4]), nil, minCapacity); len(got) != 3 {
 		t.Errorf("one zone only: got %d hosts, want 3", len(got))
 	}
 }
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
@@ -47,15 +47,14 @@
 	}
 }
 
-// fingerprintOf identifies the content of a request at one service.
-func fingerprintOf(request *broker.OpaqueRequest, service string) broker.Fingerprint {
-	hash := xxhash.New()
-	for _, part := range []string{service, request.Method, request.Host, request.Target} {
-		_, _ = hash.WriteString(part)
-		_, _ = hash.Write([]byte{0})
-	}
-	_, _ = hash.Write(request.Body)
-	return broker.Fingerprint(max(1, hash.Sum64()))
+// contentOf identifies the content of a request.
+func contentOf(request *broker.OpaqueRequest) broker.Fingerprint {
+	return quarantiner.Fingerprint(request.Method, request.Host, request.Target, string(request.Body))
+}
+
+// atService identifies the content of a request at one service.
+func atService(content broker.Fingerprint, service string) broker.Fingerprint {
+	return content ^ quarantiner.Fingerprint(service)
 }
 
 // refuses returns whether a request has crashed the servers of a service of its route.
@@ -63,27 +62,18 @@
 	if q.set.Empty() {
 		return false
 	}
-	now := time.Now()
+	now, content := time.Now(), contentOf(request)
 	quarantined := func(service string) bool {
-		return q.set.Standing(fingerprintOf(request, service), now) == quarantiner.Quarantined
-	}
-	for _, shard := range route.Shards {
-		if quarantined(shard) {
-			return true
-		}
-	}
-	for _, target := range route.Targets {
-		if quarantined(target.Service) {
-			return true
-		}
+		return q.set.Standing(atService(content, service), now) == quarantiner.Quarantined
 	}
-	return false
+	return slices.ContainsFunc(route.Shards, quarantined) ||
+		slices.ContainsFunc(route.Targets, func(target broker.Target) bool { return quarantined(target.Service) })
 }
 
 // crashed takes that the connection to a server broke while it worked on a request.
 func (q *quarantine) crashed(request *broker.OpaqueRequest, sub *broker.SubRequest) {
 	q.take(broker.CrashReport{
-		Fingerprint: fingerprintOf(request, string(sub.Shard)), Server: sub.Server, // the name tells the process
+		Fingerprint: atService(contentOf(request), string(sub.Shard)), Server: sub.Server, // the name tells the process
 	}, request.ID)
 }
 
@@ -92,7 +82,7 @@
 	if q.set.Empty() {
 		return
 	}
-	fingerprint := fingerprintOf(request, string(sub.Shard))
+	fingerprint := atService(contentOf(request), string(sub.Shard))
 	if q.set.Standing(fingerprint, time.Now()) == quarantiner.Suspect {
 		q.take(broker.CrashReport{Fingerprint: fingerprint, Server: sub.Server, Cleared: true}, request.ID)
 	}
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -49,23 +49,14 @@
 		hosts = append(hosts, f.self())
 	}
 	wanted, locality := f.load.capacity(), f.locality()
-	chosen := choose(hosts, locality, wanted)
+	chosen, enough := choose(hosts, locality, wanted)
 	// One answer that is missed can be a hiccup, and leaving out a host costs little while others take its place.
-	if len(suspect) > 0 && !enough(chosen, wanted) {
-		chosen = choose(append(hosts, suspect...), locality, wanted)
+	if len(suspect) > 0 && !enough {
+		chosen, _ = choose(append(hosts, suspect...), locality, wanted)
 	}
 	return chosen
 }
 
-// enough returns whether hosts have the wanted capacity.
-func enough(hosts []broker.HostRecord, wanted float64) bool {
-	capacity := 0.0
-	for i := range hosts {
-		capacity += hosts[i].Capacity
-	}
-	return len(hosts) >= maxEntries || len(hosts) >= minEntries && capacity >= wanted
-}
-
 func (f *Forwarder) self() broker.HostRecord {
 	return broker.HostRecord{
 		Name: f.settings.Node, Zone: f.settings.Zone, Entry: f.settings.Entry, Readiness: f.settings.Readiness,
@@ -75,14 +66,19 @@
 
 func compareNames(a, b broker.HostRecord) int { return cmp.Compare(a.Name, b.Name) }
 
-// choose returns the hosts to send callers to, the first in order that have the wanted capacity.
-func choose(hosts []broker.HostRecord, locality map[string]int, wanted float64) []broker.HostRecord {
+// choose returns the hosts to send callers to, the first in order that have the wanted capacity, and whether there are
+// enough for it.
+func choose(
+	hosts []broker.HostRecord, locality map[string]int, wanted float64,
+) (chosen []broker.HostRecord, enough bool) {
 	hosts = order(hosts, locality)
-	count := 0
-	for count < len(hosts) && !enough(hosts[:count], wanted) {
+	capacity, count := 0.0, 0
+	for !enough && count < len(hosts) {
+		capacity += hosts[count].Capacity
 		count++
+		enough = count >= maxEntries || count >= minEntries && capacity >= wanted
 	}
-	return withSecondZone(hosts, count)
+	return withSecondZone(hosts, count), enough
 }
 
 // withSecondZone returns the first hosts, and one of another zone where they are all in one: a zone can be lost as a whole,
--- a/internal/modeler/day.go
+++ b/internal/modeler/day.go
@@ -109,10 +109,10 @@
 // play runs the whole day.
 func (d *day) play() {
 	for i := range d.scenario.Kinds {
-		d.schedule(i)
+		d.scheduleArrival(i)
 	}
 	for i := range d.scenario.Faults {
-		d.plan(&d.scenario.Faults[i])
+		d.injectLater(&d.scenario.Faults[i])
 	}
 	longest := time.Duration(0)
 	for i := range d.scenario.Kinds {
@@ -121,8 +121,8 @@
 	d.clock.run(time.Duration(d.scenario.Length) + (1+callerRetries)*longest)
 }
 
-// schedule lets the next request of a kind arrive after an exponential pause.
-func (d *day) schedule(kind int) {
+// scheduleArrival lets the next request of a kind arrive after an exponential pause.
+func (d *day) scheduleArrival(kind int) {
 	pause := time.Duration(d.arrivals.ExpFloat64() / d.scenario.Kinds[kind].Rate * float64(time.Second))
 	d.clock.after(pause, func() {
 		if d.clock.now >= time.Duration(d.scenario.Length) {
@@ -131,7 +131,7 @@
 		r := &request{day: d, kind: kind, number: d.asked, sent: d.clock.now}
 		d.asked++
 		r.send()
-		d.schedule(kind)
+		d.scheduleArrival(kind)
 	})
 }
 
@@ -139,7 +139,7 @@
 func (r *request) send() {
 	d := r.day
 	if d.policy.Foresight {
-		d.foresee(r)
+		d.answerWithForesight(r)
 		return
 	}
 	h := d.hosts[d.luck.IntN(len(d.hosts))]
@@ -241,9 +241,9 @@
 	return list
 }
 
-// foresee answers a request as one would who knows when each server will answer: each part from the server that is
+// answerWithForesight answers a request as one would who knows when each server will answer: each part from the server that is
 // first, and at the moment that earns most.
-func (d *day) foresee(r *request) {
+func (d *day) answerWithForesight(r *request) {
 	k := &d.scenario.Kinds[r.kind]
 	begin := d.clock.now + time.Duration(d.scenario.ToCallers)/2
 	ends := make([]time.Duration, 0, len(d.byShard))
@@ -297,8 +297,8 @@
 	d.record(r, at, float64(best)/total)
 }
 
-// plan schedules a fault.
-func (d *day) plan(f *Fault) {
+// injectLater schedules a fault.
+func (d *day) injectLater(f *Fault) {
 	d.clock.after(time.Duration(f.At), func() {
 		if f.Kind == FaultHostKilled {
 			d.killHosts(f)
@@ -306,13 +306,13 @@
 		}
 		for _, replicas := range d.byShard {
 			if d.luck.Float64() < f.Share {
-				d.strike(replicas[d.luck.IntN(len(replicas))], f)
+				d.injectServerFault(replicas[d.luck.IntN(len(replicas))], f)
 			}
 		}
 	})
 }
 
-func (d *day) strike(s *server, f *Fault) {
+func (d *day) injectServerFault(s *server, f *Fault) {
 	undo := func() {}
 	switch f.Kind {
 	case FaultServerSlow:
--- a/internal/modeler/report.go
+++ b/internal/modeler/report.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return &Error{Op: "draw a plot", Kind: KindInvalid, Err: errors.WithStack(err)}
 		}
-		drawn, err := draw2D(p)
+		drawn, err := drawSVG(p)
 		plots = append(plots, drawn)
 		return err
 	}
@@ -68,7 +68,7 @@
 	}))
 }
 
-func draw2D(p *plot.Plot) (template.HTML, error) {
+func drawSVG(p *plot.Plot) (template.HTML, error) {
 	writer, err := p.WriterTo(20*vg.Centimeter, 9*vg.Centimeter, "svg")
 	if err != nil {
 		return "", errors.WithStack(err)
--- a/internal/modeler/result.go
+++ b/internal/modeler/result.go
@@ -33,7 +33,6 @@
 	Kinds   []KindResult
 	Windows []float64         // worth by window of the first seed
 	Times   [][]time.Duration // sorted times of the answers, by kind
-	Elapsed time.Duration     // real time of all runs
 }
 
 // Compare plays a scenario with each policy over seeds from first on.
@@ -48,7 +47,6 @@
 }
 
 func compare(scenario *Scenario, policy Policy, first uint64, seeds int) Result {
-	began := time.Now()
 	result := Result{Policy: policy.Name, Times: make([][]time.Duration, len(scenario.Kinds))}
 	kinds := make([]KindResult, len(scenario.Kinds))
 	var earned, owed, worst, sent, least float64
@@ -77,7 +75,7 @@
 		kinds[i].finish(scenario.Kinds[i].Name, result.Times[i])
 	}
 	result.Kinds, result.Worth, result.Worst = kinds, earned/owed, worst/float64(seeds)
-	result.Extra, result.Elapsed = sent/least-1, time.Since(began)
+	result.Extra = sent/least - 1
 	return result
 }
 
--- a/internal/server/entry.go
+++ b/internal/server/entry.go
@@ -5,23 +5,18 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 )
 
-// fingerprintOf identifies kind, key and body of a query; zero is reserved for none.
+// fingerprintOf identifies kind, key and body of a query.
 func fingerprintOf(query *broker.Query) broker.Fingerprint {
-	hash := xxhash.New()
-	for _, part := range []string{query.Kind, query.Key, string(query.Body)} {
-		_, _ = hash.WriteString(part)
-		_, _ = hash.Write([]byte{0})
-	}
-	return broker.Fingerprint(max(1, hash.Sum64()))
+	return quarantiner.Fingerprint(query.Kind, query.Key, string(query.Body))
 }
 
 // refuse returns the answer to a query of which nothing ran.
