Name no more than 64 hosts where one of a second zone is added

Cause: the host of a second zone was appended beside the 64 that one resolve answer holds. It takes the place of the last one now. Before: TestSecondZone got 65 hosts; after: 64, one of another zone.

--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -107,6 +107,16 @@
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
 		}
 	}
+	var large []broker.HostRecord
+	for i := range 2 * maxEntries {
+		zone := []string{"a", "b"}[i/(2*maxEntries-1)]
+		large = append(large, broker.HostRecord{Name: fmt.Sprintf("%s%03d", zone, i), Zone: zone, Capacity: 0.1})
+	}
+	chosen, _ := choose(large, map[string]int{"a": 4}, 100)
+	elsewhere := func(host broker.HostRecord) bool { return host.Zone == "b" }
+	if len(chosen) != maxEntries || !slices.ContainsFunc(chosen, elsewhere) {
+		t.Errorf("more than one answer holds: got %d hosts, want %d, one of another zone", len(chosen), maxEntries)
+	}
 	if got, _ := choose(slices.Clone(hosts[:4]), nil, minCapacity); len(got) != 3 {
 		t.Errorf("one zone only: got %d hosts, want 3", len(got))
 	}
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -84,13 +84,13 @@
 // withSecondZone returns the first hosts, and one of another zone where they are all in one: a zone can be lost as a whole,
 // and its callers may then reach none of the hosts that would tell them other addresses.
 func withSecondZone(hosts []broker.HostRecord, count int) []broker.HostRecord {
-	chosen := hosts[:count:count]
+	chosen := hosts[:count]
 	elsewhere := func(host broker.HostRecord) bool { return host.Zone != hosts[0].Zone }
 	if count == 0 || slices.ContainsFunc(chosen, elsewhere) {
 		return chosen
 	}
 	if i := slices.IndexFunc(hosts[count:], elsewhere); i >= 0 {
-		chosen = append(chosen, hosts[count+i])
+		chosen = append(slices.Clone(hosts[:min(count, maxEntries-1)]), hosts[count+i])
 	}
 	return chosen
 }
