Wait for the claim point of each shard before tests send reports

A trace of two failures (logs of the nodes kept by a scratch copy) shows no claim point that moved: each was gained once, at the start, and the refused report was created 40 ms before the end of the fence of the shard that was gained last (fence = start + 1 s). waitUntilClaimable took 12 accepted reports in a row for proof that every shard accepts them. The keys of the reports are numbered and their hash chooses the shard: site-11 to site-22, twelve in a row, never reach the second of three shards, so that a round that begins at 11 passes while that shard still refuses. Change: the fixture counts the accepted reports of each shard and wants four in a row from each, none refused meanwhile, which is at least as strict as before. Ruled out: a hand-over around which two claim points act; the logs have no gain or loss between the start and the stop.

--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -212,17 +212,27 @@
 }
 
 // waitUntilClaimable waits until the claim point of every shard accepts reports; a new one refuses request IDs from
-// before its fence.
+// before its fence. The shards of successive reports are not in turn, so that the reports of each shard are counted.
 func (f *fixture) waitUntilClaimable() {
 	f.Helper()
+	const wantAccepted = 4
+	shardOf, err := f.ReportShards()
+	if err != nil {
+		f.Fatal(err)
+	}
 	number := uint64(0)
-	f.waitFor(waitTimeout, "reports accepted", func() bool {
-		for range 4 * f.Settings.IntakeShards {
+	f.waitFor(waitTimeout, "reports accepted by every shard", func() bool {
+		accepted, done := make(map[broker.ShardName]int, f.Settings.IntakeShards), 0
+		for done < f.Settings.IntakeShards {
 			number++
 			r := testbed.Result{Query: testbed.Report(number)}
 			if r.Answer, r.Err = f.caller.Query(f.Context(), r.Query); !answered(&r) {
 				return false
 			}
+			shard := shardOf(&r.Query)
+			if accepted[shard]++; accepted[shard] == wantAccepted {
+				done++
+			}
 		}
 		return true
 	})
--- a/internal/standin/testbed/system.go
+++ b/internal/standin/testbed/system.go
@@ -18,10 +18,12 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/joiner"
+	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
 	"github.com/yuccarock/yuccarock/internal/server"
 	"github.com/yuccarock/yuccarock/internal/standin/backendserver"
 	"github.com/yuccarock/yuccarock/internal/standin/certifier"
 	"github.com/yuccarock/yuccarock/internal/standin/storeserver"
+	"github.com/yuccarock/yuccarock/pkg/caller"
 	"github.com/yuccarock/yuccarock/pkg/configurator"
 )
 
@@ -180,9 +182,7 @@
 // SubmitConfig submits the configuration that Settings describe and returns its revision.
 func (s *System) SubmitConfig(ctx context.Context) (broker.Revision, error) {
 	return s.UpdateConfig(ctx, func(config *configurator.Config) error {
-		built, err := s.Settings.Config(func(name broker.ServerName) netip.AddrPort {
-			return s.Backends[name].Address()
-		})
+		built, err := s.buildConfig()
 		if err != nil {
 			return err
 		}
@@ -191,6 +191,20 @@
 	})
 }
 
+func (s *System) buildConfig() (*configurator.Config, error) {
+	return s.Settings.Config(func(name broker.ServerName) netip.AddrPort { return s.Backends[name].Address() })
+}
+
+// ReportShards returns a function that returns the shard of a report.
+func (s *System) ReportShards() (func(report *caller.Query) broker.ShardName, error) {
+	config, err := s.buildConfig()
+	if err != nil {
+		return nil, err
+	}
+	service := indexer.New(0, config).Service(IntakeService)
+	return func(report *caller.Query) broker.ShardName { return service.ShardOfKey(report.Key).Name }, nil
+}
+
 // SetZone takes a zone out of service or returns it to service.
 func (s *System) SetZone(ctx context.Context, zone string, state configurator.ZoneState) (broker.Revision, error) {
 	return s.UpdateConfig(ctx, func(config *configurator.Config) error {
