Leave first attempts in other zones to a host there

Change: first attempts at servers of one other zone go to a host there in one message; it sends to the servers and returns merged records. The entry host keeps every decision (server, hedge, retry, budgets, quarantine), so that no count of a rule changes. Merged parts replace single parts of the same shard, since their records cannot be separated. Zones without a serving host get a delegate of their own. Counters state the bytes between zones by cause.

--- a/internal/broker/coordination/scatterer/action.go
+++ b/internal/broker/coordination/scatterer/action.go
@@ -10,6 +10,8 @@
 type Send struct {
 	Owner broker.NodeID
 	Sub   *broker.SubRequest
+	// HedgeAfter is the time until a hedge is due, zero if there will be none.
+	HedgeAfter time.Duration
 }
 
 // Cancel is an attempt to cancel at the owner of its server.
--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -36,10 +36,11 @@
 	return s.endEvent()
 }
 
-// AnswerOpaque processes the answer to an attempt of an opaque request; opaque is the answer of the backend server.
+// AnswerOpaque processes the answer to an attempt of an opaque request; opaque is the answer of the backend server. If
+// answer.Latency is set, it replaces the time since the attempt was sent as the observed latency.
 func (s *Session) AnswerOpaque(now time.Time, answer *broker.SubAnswer, opaque *broker.OpaqueAnswer) Actions {
-	s.currentOpaque = opaque
-	defer func() { s.currentOpaque = nil }()
+	s.currentOpaque, s.exchangeLatency = opaque, answer.Latency
+	defer func() { s.currentOpaque, s.exchangeLatency = nil, 0 }()
 	return s.Answer(now, answer)
 }
 
@@ -87,6 +88,9 @@
 	a := &sh.attempts[slot]
 	s.endAttempt(sh, slot, attemptEnded)
 	elapsed := s.now - a.sent
+	if s.exchangeLatency > 0 {
+		elapsed = min(elapsed, s.exchangeLatency)
+	}
 	sh.tracked.Latency.Record(s.started.Add(s.now), elapsed)
 	a.server.Observe(elapsed)
 	if a.hedge {
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -178,10 +178,12 @@
 		TraceParent:  s.request.TraceParent,
 		Revision:     s.view.Table.Revision,
 	})
-	s.actions.Sends = append(s.actions.Sends, Send{Owner: to.state.Owner, Sub: &s.subRequests[len(s.subRequests)-1]})
+	send := Send{Owner: to.state.Owner, Sub: &s.subRequests[len(s.subRequests)-1]}
 	if s.mayHedge(sh) {
-		s.scheduleHedge(i, s.hedgeDelay(sh))
+		send.HedgeAfter = s.hedgeDelay(sh)
+		s.scheduleHedge(i, send.HedgeAfter)
 	}
+	s.actions.Sends = append(s.actions.Sends, send)
 }
 
 // attemptNumber returns the attempt number of a slot, which is unique across runs.
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -48,10 +48,11 @@
 	random  *rand.Rand
 	request Request
 
-	strategy      Strategy
-	targetPassed  bool
-	currentOpaque *broker.OpaqueAnswer // opaque part of the answer being processed
-	parts         []*broker.OpaqueAnswer
+	strategy        Strategy
+	targetPassed    bool
+	currentOpaque   *broker.OpaqueAnswer // opaque part of the answer being processed
+	exchangeLatency time.Duration        // latency stated with the answer being processed, or zero
+	parts           []*broker.OpaqueAnswer
 
 	started  time.Time
 	deadline time.Duration // since started, like all durations below
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -16,6 +17,10 @@
 	// crossZoneCost is added to the expected time of a server in another availability zone, because traffic between zones
 	// is charged for and its round trip takes a few milliseconds.
 	crossZoneCost = 8 * time.Millisecond
+	// delegatedZoneCost takes the place of crossZoneCost for zones in which another host sends to the servers. It grows by
+	// delegatedZoneStep with each zone, so that as many sub-requests as possible are delegated to one host.
+	delegatedZoneCost = 4 * time.Millisecond
+	delegatedZoneStep = 2 * time.Millisecond
 	// targetMargin is subtracted from the latency target, up to maxTargetMarginShare of it. Callers measure latency from
 	// before they look up a host and open a connection, which takes several round trips.
 	targetMargin         = 30 * time.Millisecond
@@ -32,6 +37,8 @@
 	Direct bool
 	// Zone is the availability zone of this host.
 	Zone string
+	// DelegatedZones are the zones in which another host sends to the servers, the preferred one first.
+	DelegatedZones []string
 	// Target is the time after the start from which an answer with the minimum coverage is returned, zero for none.
 	Target time.Duration
 	// MaxAttempts is the most servers that the request of one shard may run on, zero for the limit of the package.
@@ -141,8 +148,15 @@
 func (s *Session) expectedTime(replica tracker.Replica, state *broker.ServerState, now time.Time) time.Duration {
 	expected := replica.ExpectedLatency(now, state.Limit)
 	expected += time.Duration(float64(expected) * expectedTimeJitter * s.random.Float64())
-	if s.view.Table.Server(replica.Name).Zone != s.strategy.Zone {
-		expected += crossZoneCost
+	return expected + s.zoneCost(s.view.Table.Server(replica.Name).Zone)
+}
+
+func (s *Session) zoneCost(zone string) time.Duration {
+	if zone == s.strategy.Zone {
+		return 0
+	}
+	if rank := slices.Index(s.strategy.DelegatedZones, zone); rank >= 0 {
+		return min(delegatedZoneCost+time.Duration(rank)*delegatedZoneStep, crossZoneCost)
 	}
-	return expected
+	return crossZoneCost
 }
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -86,6 +86,8 @@
 	Answer *OpaqueAnswer
 	// Sent reports whether any byte of the request may have left this host.
 	Sent bool
+	// BytesSent and BytesReceived count the bytes of the request and its answer.
+	BytesSent, BytesReceived int
 	// Reason is the reason why there is no answer.
 	Reason Reason
 	Err    error
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -70,6 +70,7 @@
 	view    *holder.Holder[View]
 
 	mu           sync.Mutex
+	zone         string   // availability zone of this host
 	zones        []string // all availability zones in the settings
 	catalog      *broker.Catalog
 	servers      map[string]serverEntry // by ID
@@ -77,15 +78,15 @@
 	missing      map[string]serverEntry // last known entries of these IDs
 	zonesToLeave map[string]bool
 	hostCount    int
-	standby      bool
+	role         Role
 	revision     broker.Revision
 	sequence     uint64
 }
 
-// New returns a registrar without a configuration.
-func New(track *tracker.Tracker, sink Sink, zones []string) *Registrar {
+// New returns a registrar of a host in zone without a configuration.
+func New(track *tracker.Tracker, sink Sink, zone string, zones []string) *Registrar {
 	return &Registrar{
-		tracker: track, sink: sink, view: holder.New[View](nil), zones: zones,
+		tracker: track, sink: sink, view: holder.New[View](nil), zone: zone, zones: zones,
 		servers: map[string]serverEntry{}, missingUntil: map[string]time.Time{}, missing: map[string]serverEntry{},
 		zonesToLeave: map[string]bool{},
 	}
@@ -207,27 +208,39 @@
 	r.rebuild()
 }
 
-// SetStandby sets whether this host is on standby. A standby host opens no connections to servers in advance.
-func (r *Registrar) SetStandby(standby bool) {
+// Role is what a host sends requests to servers for.
+type Role uint8
+
+const (
+	// RoleServing is the role of a host that callers are sent to.
+	RoleServing Role = iota
+	// RoleDelegate is the role of a host that only sends requests of other hosts to the servers in its zone.
+	RoleDelegate
+	// RoleStandby is the role of a host that is not used at present.
+	RoleStandby
+)
+
+// SetRole sets the role of this host, which decides the servers to which connections are opened in advance.
+func (r *Registrar) SetRole(role Role) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if standby == r.standby {
+	if role == r.role {
 		return
 	}
-	r.standby = standby
+	r.role = role
 	if view := r.view.Load(); view != nil {
-		for name := range view.Instances {
-			r.sink.Retain(name, r.minIdleConnections())
+		for name, instance := range view.Instances {
+			r.sink.Retain(name, r.minIdleConnections(instance))
 		}
 	}
 }
 
-// minIdleConnections returns how many idle connections to each server are opened in advance.
-func (r *Registrar) minIdleConnections() int {
-	if r.standby {
-		return 0
+// minIdleConnections returns how many idle connections to a server are opened in advance.
+func (r *Registrar) minIdleConnections(instance *Instance) int {
+	if r.role == RoleServing || r.role == RoleDelegate && instance.Zone == r.zone {
+		return 1
 	}
-	return 1
+	return 0
 }
 
 // rebuild publishes a view of the current inputs.
@@ -269,7 +282,7 @@
 	if server := r.tracker.Server(name); server != nil {
 		server.SetCold(coldUntil, instance.Policy.WarmupRate/float64(cmp.Or(r.hostCount, assumedHostCount)))
 	}
-	r.sink.Retain(name, r.minIdleConnections())
+	r.sink.Retain(name, r.minIdleConnections(instance))
 }
 
 // buildConfig returns the configuration of the table. The requests of each route to each service form one request kind,
--- a/internal/broker/state/registrar/registrar_test.go
+++ b/internal/broker/state/registrar/registrar_test.go
@@ -17,7 +17,7 @@
 // TestAdopt checks that an older configuration never replaces a newer one. The store may answer with an older version
 // than before, and another host may be behind.
 func TestAdopt(t *testing.T) {
-	r := New(tracker.New(), fakeSink{}, nil)
+	r := New(tracker.New(), fakeSink{}, "a", nil)
 	tests := []struct {
 		version broker.Revision
 		want    broker.Revision // in force afterwards
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -33,6 +33,8 @@
 
 	sent   bool // a byte of the request may have left this host
 	reused bool // the last connection had carried another request or was opened as an idle one
+
+	bytesSent, bytesReceived int // on all connections
 }
 
 // reply is a complete HTTP answer.
@@ -49,6 +51,10 @@
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
 	e.sent = e.sent || c.bytesWritten > 0
+	e.bytesReceived += c.bytesRead
+	if e.sent {
+		e.bytesSent += len(e.head) + len(e.payload)
+	}
 	uninterrupted := stop()
 	if err != nil || !keep || !uninterrupted || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		done := p.discard(c)
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -43,10 +43,13 @@
 			// A closed connection does not prove that the server crashed.
 			reason = broker.ReasonLost
 		}
-		return broker.ServerReply{Sent: e.sent, Reason: reason, Err: err}
+		return broker.ServerReply{
+			Sent: e.sent, BytesSent: e.bytesSent, BytesReceived: e.bytesReceived, Reason: reason, Err: err,
+		}
 	}
 	return broker.ServerReply{
 		Answer: &broker.OpaqueAnswer{Status: reply.status, Header: reply.header, Body: reply.body}, Sent: true,
+		BytesSent: e.bytesSent, BytesReceived: e.bytesReceived,
 	}
 }
 
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,118 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
+	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
+)
+
+// receiver is the backend server that an attempt is sent to.
+type receiver struct {
+	instance *registrar.Instance
+	server   *tracker.Server
+}
+
+// receiver returns the server with the given name, or false if it is not registered in view.
+func (f *Forwarder) receiver(view *registrar.View, name broker.ServerName) (receiver, bool) {
+	to := receiver{instance: view.Instances[name], server: f.tracker.Server(name)}
+	return to, to.instance != nil && to.server != nil
+}
+
+// exchanged is the result of one exchange with a backend server.
+type exchanged struct {
+	broker.Classification
+	answer  *broker.OpaqueAnswer // nil if no complete answer was received
+	sent    bool                 // whether any byte of the request may have reached the server
+	latency time.Duration
+}
+
+// exchange sends a request to a server and records the outcome for it. A part of a scatter that is not a success counts
+// as a failure.
+func (f *Forwarder) exchange(
+	ctx context.Context, request *broker.OpaqueRequest, sub *broker.SubRequest, to receiver, deadline time.Time, part bool,
+) exchanged {
+	if trace.SpanFromContext(ctx).IsRecording() {
+		spanCtx, span := f.tracer.Start(ctx, "entry.attempt", attribute.String("shard", string(sub.Shard)),
+			attribute.String("server", string(sub.Server)), attribute.Int("attempt", int(sub.Attempt)))
+		defer span.End()
+		ctx = spanCtx
+	}
+	sent := time.Now()
+	to.server.ExchangeStarted(sent)
+	reply := f.dispatcher.Exchange(ctx, sub.Server, &broker.ServerRequest{
+		Method: request.Method,
+		Head:   f.codec.Head(nil, request, to.instance.ID, deadline.Sub(sent)),
+		Body:   request.Body,
+		Reuse:  func(header http.Header) bool { return f.codec.Matches(request, header) },
+	})
+	now := time.Now()
+	if to.instance.Zone != f.settings.Zone {
+		f.meters.crossZone(sub.Attempt, reply.BytesSent, reply.BytesReceived)
+	}
+	result := exchanged{answer: reply.Answer, sent: reply.Sent, latency: now.Sub(sent)}
+	if reply.Answer == nil {
+		result.Outcome, result.Reason = broker.OutcomeUnknown, reply.Reason
+		if !reply.Sent {
+			result.Outcome = broker.OutcomeNotRun
+		}
+		if ctx.Err() != nil && result.latency < callerGoneGrace {
+			to.server.ExchangeDiscarded(sent)
+		} else {
+			to.server.ExchangeEnded(sent, now, true)
+		}
+		return result
+	}
+	result.Classification = f.codec.Classify(request, reply.Answer)
+	if part && result.Outcome == broker.OutcomeAnswered && reply.Answer.Status/100 != 2 {
+		result.Classification = broker.Classification{Outcome: broker.OutcomeFailed, Reason: broker.ReasonBackendError}
+	}
+	if result.Reason == broker.ReasonMoved {
+		to.server.MarkReassigned(to.instance.Address)
+	}
+	to.server.ExchangeEnded(sent, now, result.Outcome != broker.OutcomeAnswered)
+	return result
+}
+
+func (s *session) startAttempt(ctx context.Context, sub *broker.SubRequest) {
+	to, ok := s.forwarder.receiver(s.view, sub.Server)
+	if !ok {
+		s.inbox <- arrival{results: []attemptResult{{answer: scatterer.NotSent(sub)}}}
+		return
+	}
+	// The attempt may outlive the caller's request by its grace.
+	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), s.deadline)
+	s.cancels[attemptKey{shard: sub.Shard, attempt: sub.Attempt}] = cancel
+	go func() {
+		defer cancel()
+		s.inbox <- arrival{results: []attemptResult{s.attempt(attemptCtx, sub, to)}}
+	}()
+}
+
+// attempt makes one attempt by an exchange of this host.
+func (s *session) attempt(ctx context.Context, sub *broker.SubRequest, to receiver) attemptResult {
+	sent := time.Now()
+	result := s.forwarder.exchange(ctx, s.request, sub, to, s.deadline, s.route.Scatter())
+	s.recordForQuarantine(sub, result.sent, result.answer != nil, result.Reason)
+	ended := attemptResult{answer: scatterer.NotSent(sub), opaque: result.answer, sent: sent}
+	ended.answer.Outcome, ended.answer.Reason = result.Outcome, result.Reason
+	return ended
+}
+
+// recordForQuarantine records whether a server survived the request.
+func (s *session) recordForQuarantine(sub *broker.SubRequest, sent, answered bool, reason broker.Reason) {
+	quarantine := s.forwarder.quarantine
+	switch {
+	case answered:
+		quarantine.recordSurvival(s.request, sub)
+	case sent && reason == broker.ReasonLost:
+		quarantine.recordCrash(s.request, sub)
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/budgeter"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/delegator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
@@ -23,6 +24,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/messenger"
 	"github.com/yuccarock/yuccarock/internal/logger"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 	"github.com/yuccarock/yuccarock/internal/waiter"
@@ -110,6 +112,8 @@
 	prober     *prober.Prober
 	gate       *follower.Gate
 	relays     *relayer.Relays
+	delegates  *delegator.Delegates
+	messenger  broker.DelegationSender
 	isolation  isolation
 	load       load
 	quarantine *quarantine
@@ -137,8 +141,9 @@
 	options := dispatcher.DefaultOptions()
 	options.Dial = deps.Dial
 	f.dispatcher = dispatcher.New(options, f.set)
-	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zones)
+	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zone, deps.Settings.Zones)
 	f.budgets = budgeter.NewShards(budgeter.HostShare(deps.Settings.RetryShare), retryBurst(deps.Settings, 0))
+	f.delegates, f.messenger = delegator.New(deps.Settings.Zone), messenger.NewClient(f.set)
 	f.relays = relayer.NewRelays()
 	f.relays.SetFallbacks(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.hasFreshContact)
@@ -336,14 +341,22 @@
 	f.logger.Info("zones to leave changed", "at", update.Revision, "zones", zones)
 }
 
-// updateHostShare adjusts connections, retry burst and standby to the hosts that serve callers now.
+// updateHostShare adjusts connections, retry burst, delegates and role to the hosts that serve callers now.
 func (f *Forwarder) updateHostShare() {
 	serving := f.serving()
+	helping := f.zoneDelegates(serving)
 	f.registrar.SetHostCount(len(serving))
 	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
-	f.registrar.SetStandby(!slices.ContainsFunc(serving, func(host broker.HostRecord) bool {
-		return host.Name == f.settings.Node
-	}))
+	f.delegates.Set(slices.Concat(serving, helping))
+	self := func(host broker.HostRecord) bool { return host.Name == f.settings.Node }
+	switch {
+	case slices.ContainsFunc(serving, self):
+		f.registrar.SetRole(registrar.RoleServing)
+	case slices.ContainsFunc(helping, self):
+		f.registrar.SetRole(registrar.RoleDelegate)
+	default:
+		f.registrar.SetRole(registrar.RoleStandby)
+	}
 }
 
 // retryBurst returns this host's share of the retry slack, which is divided among hosts.
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -34,6 +34,20 @@
 	m.retriesDenied.Add(stats.RetriesDenied)
 }
 
+// crossZone adds the bytes of one exchange with a server in another availability zone.
+func (m *meters) crossZone(attempt uint32, sent, received int) {
+	cause := "firstAttempt"
+	if attempt > 1 {
+		cause = "furtherAttempt"
+	}
+	add := func(direction string, bytes int) {
+		m.set.GetOrCreateCounter(fmt.Sprintf(
+			"yuccarock_cross_zone_bytes_total{cause=%q,direction=%q}", cause, direction)).Add(bytes)
+	}
+	add("sent", sent)
+	add("received", received)
+}
+
 // requestEnded records the result and duration of one request.
 func (m *meters) requestEnded(route, result string, elapsed time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_requests_total{route=%q,result=%q}", route, result)).Inc()
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/messenger"
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
@@ -175,5 +176,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayer.Path(""), f.feeds.handler())
 	mux.HandleFunc("POST "+crashesPath, f.quarantine.serveReports)
+	mux.Handle("POST "+messenger.Path, messenger.NewHandler(f.runDelegation, f.set, f.logger))
 	return mux
 }
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -57,6 +57,31 @@
 	return chosen
 }
 
+// zoneDelegates returns one host for each zone that has servers of scatters and no serving host. They send requests of
+// the serving hosts to the servers in their zone.
+func (f *Forwarder) zoneDelegates(serving []broker.HostRecord) []broker.HostRecord {
+	hosts, _ := f.prober.Usable()
+	if f.Ready() == nil {
+		hosts = append(hosts, f.ownRecord())
+	}
+	return chooseZoneDelegates(hosts, serving, f.locality())
+}
+
+func chooseZoneDelegates(hosts, serving []broker.HostRecord, locality map[string]int) []broker.HostRecord {
+	covered := make(map[string]bool, len(locality))
+	for i := range serving {
+		covered[serving[i].Zone] = true
+	}
+	var chosen []broker.HostRecord
+	for _, host := range orderHosts(hosts, locality) {
+		if !covered[host.Zone] && locality[host.Zone] > 0 {
+			covered[host.Zone] = true
+			chosen = append(chosen, host)
+		}
+	}
+	return chosen
+}
+
 func (f *Forwarder) ownRecord() broker.HostRecord {
 	return broker.HostRecord{
 		Name: f.settings.Node, Zone: f.settings.Zone, Entry: f.settings.Entry, Readiness: f.settings.Readiness,
@@ -113,11 +138,12 @@
 	return hosts
 }
 
-// probeCandidates returns the names of the serving hosts and of those next in order. Only these are probed, because
-// probes between all hosts would grow with the square of their number.
+// probeCandidates returns the names of the serving hosts, of those next in order and of the delegates. Only these are
+// probed, because probes between all hosts would grow with the square of their number.
 func (f *Forwarder) probeCandidates() []string {
 	serving := make(map[string]bool)
-	for _, host := range f.serving() {
+	hosts := f.serving()
+	for _, host := range hosts {
 		serving[host.Name] = true
 	}
 	known := orderHosts(append(f.prober.Known(), f.ownRecord()), f.locality())
@@ -131,6 +157,11 @@
 	for _, host := range known[:min(len(known), last+1+spareCandidates)] {
 		names = append(names, host.Name)
 	}
+	for _, host := range f.zoneDelegates(hosts) {
+		if !slices.Contains(names, host.Name) {
+			names = append(names, host.Name)
+		}
+	}
 	return names
 }
 
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -6,14 +6,9 @@
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/yuccarock/yuccarock/internal/broker"
-	"github.com/yuccarock/yuccarock/internal/broker/coordination/collator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
-	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 )
 
 const (
@@ -44,6 +39,12 @@
 	sent   time.Time
 }
 
+// arrival is what a session learns at once.
+type arrival struct {
+	results []attemptResult
+	merged  *mergedParts // parts among the results that another host has merged, or nil
+}
+
 // session is one request in progress.
 type session struct {
 	forwarder *Forwarder
@@ -55,10 +56,11 @@
 	deadline  time.Time
 
 	scatter        *scatterer.Session
-	inbox          chan attemptResult
+	inbox          chan arrival
 	cancels        map[attemptKey]context.CancelFunc
 	timer          *time.Timer
 	final          *broker.Answer
+	parts          partSet              // of a scatter
 	lastFailure    *broker.OpaqueAnswer // last failure answer of a backend server
 	failedAttempts []any                // attempts without a successful answer, for the log
 	callerGone     bool
@@ -68,10 +70,12 @@
 // answer runs the request and answers the caller.
 func (s *session) answer(ctx context.Context, w http.ResponseWriter) {
 	f := s.forwarder
+	strategy := scatterer.NewStrategy(s.route, f.settings.Zone, f.budgets)
+	strategy.DelegatedZones = f.delegates.Zones(s.started)
 	var err error
 	s.scatter, err = scatterer.New(scatterer.Dependencies{
 		View: s.view.Tracked, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Strategy: scatterer.NewStrategy(s.route, f.settings.Zone, f.budgets),
+		Strategy: strategy,
 	}, scatterer.Request{
 		Query:    broker.Query{RequestID: s.request.ID, Kind: s.kind},
 		Seen:     true,
@@ -84,7 +88,7 @@
 		return
 	}
 	shards := max(1, len(s.route.Shards))
-	s.inbox = make(chan attemptResult, inboxSizePerShard*shards)
+	s.inbox = make(chan arrival, inboxSizePerShard*shards)
 	s.cancels = make(map[attemptKey]context.CancelFunc, shards)
 	s.timer = time.NewTimer(time.Until(s.deadline))
 	defer s.timer.Stop()
@@ -101,9 +105,8 @@
 	s.applyActions(ctx, s.scatter.Start(time.Now()))
 	for s.final == nil {
 		select {
-		case ended := <-s.inbox:
-			s.recordResult(&ended)
-			s.applyActions(ctx, s.scatter.AnswerOpaque(time.Now(), &ended.answer, ended.opaque))
+		case arrived := <-s.inbox:
+			s.process(ctx, &arrived)
 		case <-s.timer.C:
 			s.applyActions(ctx, s.scatter.Wake(time.Now()))
 		case <-ctx.Done():
@@ -113,6 +116,25 @@
 	}
 }
 
+// process passes results on to the scatter until it has finished. Merged parts are recorded together, whatever the
+// scatter still needs, because their records cannot be separated.
+func (s *session) process(ctx context.Context, arrived *arrival) {
+	if arrived.merged != nil {
+		s.parts.addMerged(arrived.merged)
+	}
+	for i := range arrived.results {
+		ended := &arrived.results[i]
+		s.recordResult(ended)
+		if s.final != nil {
+			continue
+		}
+		if arrived.merged == nil && ended.answer.Outcome == broker.OutcomeAnswered {
+			s.parts.add(ended.answer.Shard, ended.opaque)
+		}
+		s.applyActions(ctx, s.scatter.AnswerOpaque(time.Now(), &ended.answer, ended.opaque))
+	}
+}
+
 func (s *session) applyActions(ctx context.Context, actions scatterer.Actions) {
 	if actions.Finish != nil {
 		s.final = actions.Finish
@@ -120,9 +142,7 @@
 	for _, cancel := range actions.Cancels {
 		s.cancelAfterGrace(cancel.Cancel)
 	}
-	for _, send := range actions.Sends {
-		s.startAttempt(ctx, send.Sub)
-	}
+	s.startAttempts(ctx, actions.Sends)
 	if !actions.WakeAt.IsZero() {
 		s.timer.Reset(time.Until(actions.WakeAt))
 	}
@@ -140,71 +160,6 @@
 	}
 }
 
-func (s *session) startAttempt(ctx context.Context, sub *broker.SubRequest) {
-	instance := s.view.Instances[sub.Server]
-	server := s.forwarder.tracker.Server(sub.Server)
-	if instance == nil || server == nil {
-		s.inbox <- attemptResult{answer: scatterer.NotSent(sub)}
-		return
-	}
-	// The attempt may outlive the caller's request by its grace.
-	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), s.deadline)
-	s.cancels[attemptKey{shard: sub.Shard, attempt: sub.Attempt}] = cancel
-	go func() {
-		defer cancel()
-		s.inbox <- s.exchange(attemptCtx, sub, instance, server)
-	}()
-}
-
-// exchange makes one attempt and records its outcome for the server.
-func (s *session) exchange(
-	ctx context.Context, sub *broker.SubRequest, instance *registrar.Instance, server *tracker.Server,
-) attemptResult {
-	f := s.forwarder
-	if trace.SpanFromContext(ctx).IsRecording() {
-		spanCtx, span := f.tracer.Start(ctx, "entry.attempt", attribute.String("shard", string(sub.Shard)),
-			attribute.String("server", string(sub.Server)), attribute.Int("attempt", int(sub.Attempt)))
-		defer span.End()
-		ctx = spanCtx
-	}
-	sent := time.Now()
-	server.ExchangeStarted(sent)
-	reply := f.dispatcher.Exchange(ctx, sub.Server, &broker.ServerRequest{
-		Method: s.request.Method,
-		Head:   f.codec.Head(nil, s.request, instance.ID, s.deadline.Sub(sent)),
-		Body:   s.request.Body,
-		Reuse:  func(header http.Header) bool { return f.codec.Matches(s.request, header) },
-	})
-	now := time.Now()
-	ended := attemptResult{answer: scatterer.NotSent(sub), opaque: reply.Answer, sent: sent}
-	if reply.Answer == nil {
-		ended.answer.Outcome, ended.answer.Reason = broker.OutcomeUnknown, reply.Reason
-		if !reply.Sent {
-			ended.answer.Outcome = broker.OutcomeNotRun
-		}
-		if reply.Sent && reply.Reason == broker.ReasonLost {
-			f.quarantine.recordCrash(s.request, sub)
-		}
-		if ctx.Err() != nil && now.Sub(sent) < callerGoneGrace {
-			server.ExchangeDiscarded(sent)
-		} else {
-			server.ExchangeEnded(sent, now, true)
-		}
-		return ended
-	}
-	f.quarantine.recordSurvival(s.request, sub)
-	classification := f.codec.Classify(s.request, reply.Answer)
-	if s.route.Scatter() && classification.Outcome == broker.OutcomeAnswered && reply.Answer.Status/100 != 2 {
-		classification = broker.Classification{Outcome: broker.OutcomeFailed, Reason: broker.ReasonBackendError}
-	}
-	ended.answer.Outcome, ended.answer.Reason = classification.Outcome, classification.Reason
-	if classification.Reason == broker.ReasonMoved {
-		server.MarkReassigned(instance.Address)
-	}
-	server.ExchangeEnded(sent, now, classification.Outcome != broker.OutcomeAnswered)
-	return ended
-}
-
 // recordResult keeps the result of an attempt without a successful answer for the answer to the caller and the log.
 func (s *session) recordResult(ended *attemptResult) {
 	if ended.answer.Outcome == broker.OutcomeFailed {
@@ -226,7 +181,6 @@
 // write sends the answer to the caller.
 func (s *session) write(w http.ResponseWriter) {
 	f := s.forwarder
-	parts := s.scatter.Parts()
 	complete := s.final.Status == broker.StatusComplete || s.final.Status == broker.StatusPartial
 	s.result = string(s.final.Status)
 	if s.route.Scatter() && !s.callerGone {
@@ -236,12 +190,14 @@
 	case s.callerGone:
 		s.result = "callerGone"
 		f.meters.callersGone.Inc()
-	case complete && len(parts) > 0 && s.route.Scatter():
-		f.meters.parts.Add(len(parts))
-		f.meters.missing.Add(len(s.route.Shards) - len(parts))
-		s.writeMerged(w, parts)
-	case complete && len(parts) > 0:
-		f.codec.WriteAnswer(w, parts[0])
+	case complete && s.route.Scatter() && s.parts.len() > 0:
+		missing := len(s.route.Shards) - s.parts.len()
+		f.meters.parts.Add(s.parts.len())
+		f.meters.missing.Add(missing)
+		records, signatures := s.parts.top(s.route.TopRecords)
+		f.codec.WriteMerged(w, records, signatures, missing)
+	case complete && len(s.scatter.Parts()) > 0:
+		f.codec.WriteAnswer(w, s.scatter.Parts()[0])
 	case s.final.Status == broker.StatusNotRun:
 		f.codec.WriteError(w, broker.Failure{Kind: broker.FailureNotRun, Reason: s.final.Reason, RetryAfter: noServerRetry})
 	case s.lastFailure != nil && !s.route.Scatter():
@@ -255,15 +211,6 @@
 	}
 }
 
-func (s *session) writeMerged(w http.ResponseWriter, parts []*broker.OpaqueAnswer) {
-	bodies := make([][]byte, len(parts))
-	signatures := make([]string, len(parts))
-	for i, part := range parts {
-		bodies[i], signatures[i] = part.Body, part.Signature
-	}
-	s.forwarder.codec.WriteMerged(w, collator.Top(bodies, s.route.TopRecords), signatures, len(s.route.Shards)-len(parts))
-}
-
 // log writes a line for a request that was late, incomplete or had failed attempts.
 func (s *session) log(elapsed time.Duration) {
 	onTime := s.route.LatencyTarget == 0 || elapsed <= s.route.LatencyTarget
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -42,7 +42,7 @@
 	h.alive = true
 	h.calls = map[*call]bool{}
 	h.tracker = tracker.New()
-	h.registrar = registrar.New(h.tracker, discardSink{}, sim.scenario.Zones)
+	h.registrar = registrar.New(h.tracker, discardSink{}, sim.scenario.Zones[h.zone], sim.scenario.Zones)
 	h.registrar.Adopt(sim.catalog)
 	h.registrar.SetServers(sim.registrations, true, sim.clock.time())
 	h.registrar.SetHostCount(len(sim.hosts))
