Let addresses live longer while hosts do not change, and probe new hosts at once

After all hosts have lost power, hosts that had not been probed yet counted as running for up to 1 s: their addresses were given to callers, and delegations to them took 50 ms to fail. Change: the lifetime is half of the time without a change of serving hosts, 1 to 4 s; a planned stop waits as long. Hosts are probed when the registered hosts change, and only hosts that have answered a probe are delegates.

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -122,6 +122,19 @@
 	return healthy, suspect
 }
 
+// Ready returns the names of the hosts that took requests at their last probe.
+func (p *Prober) Ready() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ready := make(map[string]bool, len(p.hosts))
+	for name, h := range p.hosts {
+		if h.machine.Current() == StateReady {
+			ready[name] = true
+		}
+	}
+	return ready
+}
+
 // Known returns all other registered hosts, whatever their state.
 func (p *Prober) Known() []broker.HostRecord {
 	p.mu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,10 +31,6 @@
 )
 
 const (
-	// resolveTTL is how long callers are asked to cache a resolve answer.
-	resolveTTL = time.Second
-	// staleCallerFactor is how many times resolveTTL some callers cache a resolve answer.
-	staleCallerFactor = 3
 	// finishReserve is the part of the stop deadline that is reserved for requests in progress.
 	finishReserve = 1500 * time.Millisecond
 	// refusalFlushTime is how long refusals may take to be sent after the last request in progress has ended.
@@ -118,6 +114,8 @@
 	load       load
 	quarantine *quarantine
 	feeds      feeds
+	lifetime   addressLifetime
+	probeNow   chan struct{} // receives when the registered hosts have changed
 	tasks      sync.WaitGroup
 
 	contact     atomic.Pointer[storeContact]
@@ -133,6 +131,7 @@
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		requestLogLimiter: logger.NewLimiter(requestLogRate, requestLogBurst),
 		tracker:           tracker.New(), gate: follower.NewGate(), createdAt: time.Now(),
+		probeNow: make(chan struct{}, 1),
 	}
 	f.reloadable.Store(&deps.Settings)
 	f.drainer = drainer.New(func(from, to string) {
@@ -227,7 +226,7 @@
 func (f *Forwarder) awaitQuiet(ctx context.Context) {
 	deadline := f.reloadable.Load().StopDeadline
 	last := time.Now().Add(deadline - finishReserve)
-	waiter.Wait(ctx, min(staleCallerFactor*resolveTTL, deadline-finishReserve))
+	waiter.Wait(ctx, min(maxAddressLifetime, deadline-finishReserve))
 	for time.Now().Before(last) && ctx.Err() == nil {
 		quiet := time.Since(f.createdAt) - time.Duration(f.lastRequest.Load())
 		if f.drainer.Active() == 0 && quiet >= quietPeriod {
@@ -347,7 +346,11 @@
 	helping := f.zoneDelegates(serving)
 	f.registrar.SetHostCount(len(serving))
 	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
-	f.delegates.Set(slices.Concat(serving, helping))
+	f.lifetime.observe(serving, time.Now())
+	ready := f.prober.Ready()
+	f.delegates.Set(slices.DeleteFunc(slices.Concat(serving, helping), func(host broker.HostRecord) bool {
+		return !ready[host.Name]
+	}))
 	self := func(host broker.HostRecord) bool { return host.Name == f.settings.Node }
 	switch {
 	case slices.ContainsFunc(serving, self):
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -17,6 +17,8 @@
 	recordRetryInterval = 500 * time.Millisecond
 	// recordCheckInterval is the pause between checks whether the store still has the record of this host.
 	recordCheckInterval = 5 * time.Second
+	// minProbePause is the pause between two probes if the registered hosts change.
+	minProbePause = 100 * time.Millisecond
 	// probeAllInterval is the pause between probes of all hosts, including those on standby. The record of a host is
 	// removed after maxMissedProbes missed answers in a row; a host that was only unreachable writes its record again.
 	probeAllInterval = time.Minute
@@ -64,6 +66,10 @@
 	f.relays.Set(f.relayAddresses())
 	f.relays.SetFallbacks(f.fallbackAddresses())
 	f.updateHostShare()
+	select {
+	case f.probeNow <- struct{}{}:
+	default:
+	}
 }
 
 // probeHosts regularly probes the serving hosts and those next in order, and updates the load from their answers.
@@ -74,7 +80,22 @@
 		f.load.sampleProcessorTime(time.Now(), processorTime())
 		f.load.updateWanted(f.prober.Load() + f.load.ownCores())
 		f.updateHostShare()
-		waiter.Wait(ctx, prober.DefaultInterval-time.Since(started))
+		f.awaitProbe(ctx, started.Add(prober.DefaultInterval))
+	}
+}
+
+// awaitProbe waits until the next probe is due, or the registered hosts have changed: whether the hosts of a system that
+// has just started are running is not known otherwise.
+func (f *Forwarder) awaitProbe(ctx context.Context, due time.Time) {
+	if !waiter.Wait(ctx, minProbePause) {
+		return
+	}
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-f.probeNow:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -28,9 +28,9 @@
 // should ask another host.
 type Resolve func(zone string) (entries []netip.AddrPort, timeToLive time.Duration)
 
-// Resolve returns the addresses of the serving hosts in random order, and resolveTTL. Serving hosts are only as many as
-// the load and the loss of some require, because each then sees more of every server and all hold fewer connections;
-// hosts in the zones of the servers come first.
+// Resolve returns the addresses of the serving hosts in random order, and for how long to use them. Serving hosts are
+// only as many as the load and the loss of some require, because each then sees more of every server and all hold fewer
+// connections; hosts in the zones of the servers come first.
 func (f *Forwarder) Resolve(string) ([]netip.AddrPort, time.Duration) {
 	f.meters.resolve.Inc()
 	hosts := f.serving()
@@ -39,7 +39,7 @@
 	for i := range hosts {
 		entries = append(entries, hosts[i].Entry)
 	}
-	return entries, resolveTTL
+	return entries, f.lifetime.current(time.Now())
 }
 
 // serving returns the hosts that callers are sent to.
