Limit what faulty servers and hosts can make this host read

The head of an answer was limited only with its body, to 8 MB; informational answers likewise; a connection that was being closed was read for 250 ms without a limit of bytes; all bodies together had no limit (16 servers: 128 MB, twice that while buffers grow, of 284 MB); the probe of another host read its body without end, and net/http allows heads of 10 MB. Ruled out: a smaller limit of one body, which deployments may need.

--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -31,8 +31,9 @@
 	// maxIdleConnections allows one connection to a host for each collection.
 	maxIdleConnections = 8
 	idleTimeout        = 30 * time.Second
-	// maxReplyBytes is the maximum size of an answer.
-	maxReplyBytes = 16 << 20
+	// maxReplyBytes is the maximum size of the body of an answer, and maxHeaderBytes that of its header.
+	maxReplyBytes  = 16 << 20
+	maxHeaderBytes = 64 << 10
 )
 
 // Relays selects the hosts that collections are read from instead of the store, and sends requests to hosts.
@@ -49,6 +50,7 @@
 func NewRelays() *Relays {
 	return &Relays{retryAt: map[netip.AddrPort]time.Time{}, client: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -15,8 +15,12 @@
 	errTooLarge     = errors.New("answer exceeds the size limit")
 )
 
-// maxHeaderBytes is the number of bytes of an answer that are allowed in addition to the limit of its body.
-const maxHeaderBytes = 64 << 10
+const (
+	// maxHeaderBytes is the maximum size of the header of an answer, including informational answers before it.
+	maxHeaderBytes = 64 << 10
+	// maxDrainBytes is how many bytes are read from a connection that is being closed.
+	maxDrainBytes = 64 << 10
+)
 
 // pastDeadline is a deadline in the past, with which every read and write fails at once.
 var pastDeadline = time.Unix(1, 0)
@@ -125,7 +129,8 @@
 	return err == nil && open
 }
 
-// closeGracefully sends a FIN and closes the connection once the server has closed its side, or after the timeout.
+// closeGracefully sends a FIN and closes the connection once the server has closed its side, after the timeout, or after
+// maxDrainBytes, because a faulty server may send without end.
 func (c *conn) closeGracefully(timeout time.Duration) {
 	// A concurrent interrupt must not replace this deadline and end the wait early.
 	c.mu.Lock()
@@ -133,7 +138,7 @@
 	err := c.SetDeadline(time.Now().Add(timeout))
 	c.mu.Unlock()
 	if writer, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil && writer.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
 	}
 	_ = c.Close()
 }
--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,13 +22,16 @@
 	FirstByteTimeout time.Duration
 	// MaxAnswerBytes is the maximum size of the body of an answer.
 	MaxAnswerBytes int
+	// MaxBufferedBytes is the maximum size of all bodies that are being received, in bytes. Faulty servers may send
+	// without end, many at once.
+	MaxBufferedBytes int64
 	// Dial opens TCP connections; nil selects a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // DefaultOptions returns the options for production.
 func DefaultOptions() Options {
-	return Options{FirstByteTimeout: 500 * time.Millisecond, MaxAnswerBytes: 8 << 20}
+	return Options{FirstByteTimeout: 500 * time.Millisecond, MaxAnswerBytes: 8 << 20, MaxBufferedBytes: 48 << 20}
 }
 
 // counters are the metrics of this package.
@@ -40,6 +44,7 @@
 	options  Options
 	dial     dialFunc
 	counters *counters
+	buffered atomic.Int64 // bytes of bodies that are being received
 	pools    *holder.Holder[map[broker.ServerName]*pool]
 }
 
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -47,7 +47,7 @@
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
 	e.reused = c.reused
-	c.startRequest(e.permit, d.options.MaxAnswerBytes+maxHeaderBytes)
+	c.startRequest(e.permit, maxHeaderBytes)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
 	e.sent = e.sent || c.bytesWritten > 0
@@ -89,10 +89,14 @@
 	if err != nil {
 		return nil, false, classify(ctx, c, "read answer", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer func() { _ = response.Body.Close() }() // that of the response, before it is limited below
 	if response.ContentLength > int64(d.options.MaxAnswerBytes) {
 		return nil, false, &Error{Op: "read answer", Kind: KindTooLarge}
 	}
+	c.readLimit += d.options.MaxAnswerBytes
+	buffered := &bufferedReader{from: response.Body, total: &d.buffered, limit: d.options.MaxBufferedBytes}
+	defer buffered.release()
+	response.Body = buffered
 	body, err := readBody(response, int64(d.options.MaxAnswerBytes)+1)
 	if err != nil {
 		return nil, false, classify(ctx, c, "read answer", err)
--- a/internal/broker/transport/messenger/client.go
+++ b/internal/broker/transport/messenger/client.go
@@ -25,8 +25,9 @@
 	// maxIdleConnections is the number of idle connections kept to each host.
 	maxIdleConnections = 16
 	idleTimeout        = 30 * time.Second
-	// maxResultBytes limits the size of all results of one delegation.
+	// maxResultBytes limits the size of all results of one delegation, and maxHeaderBytes that of the header before them.
 	maxResultBytes = 4 << 20
+	maxHeaderBytes = 64 << 10
 )
 
 // Client sends delegations to other hosts; it implements broker.DelegationSender.
@@ -44,7 +45,7 @@
 	return &Client{
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 		sent:            set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="sent"}`),
 		received:        set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="received"}`),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -58,6 +58,8 @@
 	// storeConnections is the number of idle connections to keep to the store, for two watches and concurrent calls.
 	storeConnections = 4
 	storeIdleTimeout = 90 * time.Second
+	// maxStoreHeaderBytes is the maximum size of the header of an answer of the store.
+	maxStoreHeaderBytes = 64 << 10
 	// maxSeenFingerprints limits the number of remembered requests that need no canary.
 	maxSeenFingerprints = 1 << 16
 )
@@ -208,7 +210,9 @@
 	if err != nil {
 		return nil, &Error{Op: "open the store", Kind: KindSettings, Err: errors.WithStack(err)}
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdleTimeout}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdleTimeout, MaxResponseHeaderBytes: maxStoreHeaderBytes,
+	}
 	return storer.New(parsed, transport, Clock{}, set, storer.Options{}), nil
 }
 
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -79,8 +79,9 @@
 		options: options,
 		seeds:   addresses,
 		pooled: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnsPerHost,
-			IdleConnTimeout: idleConnTimeout, DisableCompression: true},
-		unpooled:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+			IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		unpooled: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeaderBytes},
 		resendTokens: maxResendTokens,
 	}
 	c.resolver = newResolver(addresses, options.Zone, c.unpooled)
--- a/pkg/caller/run.go
+++ b/pkg/caller/run.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	headerTimeout = "Yuccarock-Timeout"
-	maxAnswerSize = 64 << 20 // bytes
+	headerTimeout  = "Yuccarock-Timeout"
+	maxAnswerSize  = 64 << 20 // bytes
+	maxHeaderBytes = 64 << 10
 )
 
 // attemptResult is the result of one attempt.
