Refuse answers without an id on used connections, and drop servers that left after a restart

(1) An answer without the id of its request was accepted on any connection: a late second copy without an id, on a connection that was lent again, reached the next caller (got 'answer to an earlier request', want 'answer to c2'). (2) A host that starts recalls the stored list of servers and uses those that are not registered for 2.2 s; while the host that writes the list cannot reach the store, the list names servers that have left. Recalled servers that are not registered are dropped if 0.9 of the others are: entries that expired during an outage are missing together.

--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -69,6 +69,9 @@
 	Body   []byte
 	// Signature is the backend server's signature of its answer.
 	Signature string
+	// FirstOnConnection reports whether the connection has carried no other request, so that the answer cannot belong to
+	// one.
+	FirstOnConnection bool
 }
 
 // ServerRequest is a prepared request to a backend server.
@@ -112,7 +115,7 @@
 	// Head appends the request line and header for an instance of a backend server, which has the time remaining for
 	// the request.
 	Head(to []byte, request *OpaqueRequest, instance string, remaining time.Duration) []byte
-	// Matches returns false if the header of an answer names another request.
+	// Matches reports whether the header of an answer names the request.
 	Matches(request *OpaqueRequest, header http.Header) bool
 	// Classify returns the outcome of the attempt according to an answer.
 	Classify(request *OpaqueRequest, answer *OpaqueAnswer) Classification
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -19,6 +19,9 @@
 	// expiryGrace is how long a server stays usable after its entry was missing from a full list. Entries expire while the
 	// store is unavailable; those of running servers are back within about 2 s of its return.
 	expiryGrace = 2200 * time.Millisecond
+	// outageShare is the share of the servers registered earlier that are registered after an outage of the store has ended;
+	// while fewer are, the rest may have expired during it.
+	outageShare = 0.9
 	// connectionShare is the share of a server's connection limit that is divided among the hosts that serve callers. A
 	// server keeps the connections of hosts that lost power for a while, beside those that they open after a restart.
 	connectionShare = 0.45
@@ -76,6 +79,7 @@
 	servers      map[string]serverEntry // by ID
 	missingUntil map[string]time.Time   // end of the grace by ID, for entries that may have expired
 	missing      map[string]serverEntry // last known entries of these IDs
+	restored     []string               // IDs of the servers that were registered earlier, until the next full list
 	zonesToLeave map[string]bool
 	hostCount    int
 	role         Role
@@ -129,10 +133,31 @@
 		}
 	}
 	r.servers = next
+	if listed {
+		r.dropDeparted()
+	}
 	r.dropExpired(now)
 	r.rebuild()
 }
 
+// dropDeparted drops restored servers that are not registered if nearly all others are: entries that expired during an
+// outage of the store are missing together, and a single one was removed because its server has left.
+func (r *Registrar) dropDeparted() {
+	var absent []string
+	for _, id := range r.restored {
+		if _, ok := r.servers[id]; !ok {
+			absent = append(absent, id)
+		}
+	}
+	if float64(len(absent)) <= float64(len(r.restored))*(1-outageShare) {
+		for _, id := range absent {
+			delete(r.missingUntil, id)
+			delete(r.missing, id)
+		}
+	}
+	r.restored = nil
+}
+
 // ActiveServers returns the registered servers that are not draining, sorted by ID.
 func (r *Registrar) ActiveServers() []broker.Registration {
 	r.mu.Lock()
@@ -147,15 +172,19 @@
 }
 
 // RestoreServers adds servers that were registered earlier. Those that are not registered now are usable for a grace,
-// because entries expire while the store is unavailable.
+// because entries expire while the store is unavailable, unless nearly all others are registered.
 func (r *Registrar) RestoreServers(servers []broker.Registration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, server := range servers {
+		r.restored = append(r.restored, server.ID)
 		if _, ok := r.servers[server.ID]; !ok {
 			r.missingUntil[server.ID], r.missing[server.ID] = now.Add(expiryGrace), serverEntry{Registration: server}
 		}
 	}
+	if len(r.servers) > 0 {
+		r.dropDeparted()
+	}
 	r.rebuild()
 }
 
--- a/internal/broker/state/registrar/registrar_test.go
+++ b/internal/broker/state/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/indexer"
@@ -33,3 +34,50 @@
 		}
 	}
 }
+
+// TestRestoredServers guards against a server that has left and is used again after a restart of this host, because the
+// list of earlier servers is out of date, and against a host without servers because their entries expired during an
+// outage of the store. The list may arrive before or after the registered servers.
+func TestRestoredServers(t *testing.T) {
+	tests := []struct {
+		name       string
+		registered int // of 20 servers in the list
+		want       int // usable servers
+	}{
+		{name: "all", registered: 20, want: 20},
+		{name: "one has left", registered: 19, want: 19},
+		{name: "half are back after an outage", registered: 10, want: 20},
+		{name: "none are back", registered: 0, want: 20},
+	}
+	for _, tt := range tests {
+		for _, listFirst := range []bool{true, false} {
+			t.Run(tt.name, func(t *testing.T) {
+				r := New(tracker.New(), fakeSink{}, "a", nil)
+				r.Adopt(&broker.Catalog{Version: 1})
+				now := time.Unix(1_800_000_000, 0)
+				list := make([]broker.Registration, 20)
+				registered := map[string]broker.Registration{}
+				for i := range list {
+					list[i] = broker.Registration{ID: string('a' + rune(i)), Service: "s1", Zone: "a"}
+					if i < tt.registered {
+						registered[list[i].ID] = list[i]
+					}
+				}
+				if listFirst {
+					r.RestoreServers(list, now)
+				}
+				r.SetServers(registered, true, now)
+				if !listFirst {
+					r.RestoreServers(list, now)
+				}
+				if got := len(r.View().Instances); got != tt.want {
+					t.Errorf("usable servers, list first %v: got %d, want %d", listFirst, got, tt.want)
+				}
+				r.ExpireServers(now.Add(expiryGrace))
+				if got := len(r.View().Instances); got != tt.registered {
+					t.Errorf("usable servers after the grace: got %d, want %d", got, tt.registered)
+				}
+			})
+		}
+	}
+}
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -32,6 +32,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	reused bool // has carried a request, or was opened as an idle connection
+	used   bool // has carried a request
 
 	idleTimeout time.Duration // idle time after which the connection is not reused; zero for no limit
 	idleSince   time.Time
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -33,6 +33,7 @@
 
 	sent   bool // a byte of the request may have left this host
 	reused bool // the last connection had carried another request or was opened as an idle one
+	first  bool // the last connection had carried no other request
 
 	bytesSent, bytesReceived int // on all connections
 }
@@ -46,7 +47,8 @@
 
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
-	e.reused = c.reused
+	e.reused, e.first = c.reused, !c.used
+	c.used = true
 	c.startRequest(e.permit, maxHeaderBytes)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -48,7 +48,9 @@
 		}
 	}
 	return broker.ServerReply{
-		Answer: &broker.OpaqueAnswer{Status: reply.status, Header: reply.header, Body: reply.body}, Sent: true,
+		Answer: &broker.OpaqueAnswer{
+			Status: reply.status, Header: reply.header, Body: reply.body, FirstOnConnection: e.first,
+		}, Sent: true,
 		BytesSent: e.bytesSent, BytesReceived: e.bytesReceived,
 	}
 }
