End a delegation when no result of it is wanted any more

Cause: read again, a delegation was cancelled only if each of its attempts was: with one answered part it went on after its caller had left, and servers worked for up to the deadline. Attempts that fell back to this host could not be cancelled. Change: a result settles an attempt like a cancellation; the last one ends the delegation while results are missing. Each attempt has a context of its own. The parts of delegate and deliver have functions of their own. Ruled out: a message for each cancelled attempt; a few hundred bytes against work that ends soon.

--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,14 +22,25 @@
 // delegation is a set of attempts that another host makes for a session.
 type delegation struct {
 	session  *session
-	group    delegator.Group
-	subs     []*broker.SubRequest
-	to       []receiver
+	host     netip.AddrPort
+	overhead time.Duration // expected to be added to the exchanges with the servers
+	attempts []delegatedAttempt
 	sent     time.Time
-	answered bool // whether any results have arrived; used by the goroutine that sends the delegation only
-	done     []bool
-	missing  atomic.Int64 // sub-requests without a result
+	cancel   context.CancelFunc
 	silence  *time.Timer
+	missing  atomic.Int64 // attempts without a result
+	wanted   atomic.Int64 // attempts without a result that have not been cancelled
+	answered bool         // whether any results have arrived; used by the goroutine that sends the delegation only
+}
+
+// delegatedAttempt is one attempt of a delegation.
+type delegatedAttempt struct {
+	sub  *broker.SubRequest
+	to   receiver
+	done bool // whether the host has sent a result; used by the goroutine that sends the delegation only
+	// ctx ends when the attempt is cancelled; settle is called when it is cancelled or has a result.
+	ctx    context.Context
+	settle func()
 }
 
 // startAttempts makes attempts, first attempts at servers in another zone through a host there if there are enough.
@@ -59,38 +71,23 @@
 
 // delegate starts the attempts of a group at its host.
 func (s *session) delegate(ctx context.Context, group delegator.Group, sends []scatterer.Send) {
-	d := &delegation{session: s, group: group, done: make([]bool, len(group.Members)), sent: time.Now()}
-	message := &broker.Delegation{
-		RequestID: s.request.ID, Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
-		Header: s.request.Header, Body: s.request.Body, Remaining: s.deadline.Sub(d.sent), TopRecords: s.route.TopRecords,
-	}
-	var hedgeAfter time.Duration
+	d := &delegation{session: s, host: group.Host, overhead: group.Overhead, sent: time.Now()}
+	// The attempts may outlive the caller's request by their grace.
+	ctx = context.WithoutCancel(ctx)
+	delegationCtx, cancel := context.WithDeadline(ctx, s.deadline)
+	d.cancel = cancel
+	var hedgeAfter time.Duration // of the first hedge
 	for _, i := range group.Members {
-		send := sends[i]
-		to, _ := s.forwarder.receiver(s.view, send.Sub.Server)
-		to.server.ExchangeStarted(d.sent)
-		d.subs, d.to = append(d.subs, send.Sub), append(d.to, to)
-		message.Servers = append(message.Servers, send.Sub.Server)
-		if hedgeAfter == 0 || send.HedgeAfter > 0 && send.HedgeAfter < hedgeAfter {
-			hedgeAfter = send.HedgeAfter
+		if after := sends[i].HedgeAfter; hedgeAfter == 0 || after > 0 && after < hedgeAfter {
+			hedgeAfter = after
 		}
+		d.add(ctx, sends[i].Sub)
 	}
-	message.CollectFor = delegator.CollectTime(hedgeAfter, group.Overhead, defaultCollectTime)
-	// The attempts may outlive the caller's request by their grace; the last one to be cancelled ends the delegation.
-	delegationCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), s.deadline)
-	var open atomic.Int64
-	open.Store(int64(len(d.subs)))
-	for _, sub := range d.subs {
-		s.cancels[attemptKey{shard: sub.Shard, attempt: sub.Attempt}] = sync.OnceFunc(func() {
-			if open.Add(-1) == 0 {
-				cancel()
-			}
-		})
-	}
-	d.missing.Store(int64(len(d.subs)))
-	d.silence = time.AfterFunc(message.CollectFor+group.Overhead+silenceMargin, func() {
+	message := d.message()
+	message.CollectFor = delegator.CollectTime(hedgeAfter, d.overhead, defaultCollectTime)
+	d.silence = time.AfterFunc(message.CollectFor+d.overhead+silenceMargin, func() {
 		if d.mostlyMissing() {
-			s.forwarder.delegates.Failed(group.Host, time.Now())
+			s.forwarder.delegates.Failed(d.host, time.Now())
 		}
 	})
 	go func() {
@@ -99,35 +96,70 @@
 	}()
 }
 
+// add adds an attempt before the delegation is sent.
+func (d *delegation) add(ctx context.Context, sub *broker.SubRequest) {
+	to, _ := d.session.forwarder.receiver(d.session.view, sub.Server)
+	to.server.ExchangeStarted(d.sent)
+	attemptCtx, cancelAttempt := context.WithCancel(ctx)
+	settle := sync.OnceFunc(func() {
+		// Without a wanted result, the host need not go on with those that are missing.
+		if d.wanted.Add(-1) == 0 && d.missing.Load() > 0 {
+			d.cancel()
+		}
+	})
+	d.session.cancels[attemptKey{shard: sub.Shard, attempt: sub.Attempt}] = func() {
+		cancelAttempt()
+		settle()
+	}
+	d.attempts = append(d.attempts, delegatedAttempt{sub: sub, to: to, ctx: attemptCtx, settle: settle})
+	d.missing.Add(1)
+	d.wanted.Add(1)
+}
+
+// message returns the message to the host.
+func (d *delegation) message() *broker.Delegation {
+	request := d.session.request
+	message := &broker.Delegation{
+		RequestID: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header,
+		Body: request.Body, Remaining: d.session.deadline.Sub(d.sent), TopRecords: d.session.route.TopRecords,
+	}
+	for i := range d.attempts {
+		message.Servers = append(message.Servers, d.attempts[i].sub.Server)
+	}
+	return message
+}
+
 // run sends the delegation and passes its results on. If the host has not run any of it, this host makes the attempts.
 func (d *delegation) run(ctx context.Context, message *broker.Delegation) {
 	f := d.session.forwarder
-	sent, err := f.messenger.Send(ctx, d.group.Host, message, d.deliver)
+	sent, err := f.messenger.Send(ctx, d.host, message, d.deliver)
 	d.silence.Stop()
 	if err == nil {
-		f.delegates.Completed(d.group.Host)
+		f.delegates.Completed(d.host)
 		return
 	}
-	if ctx.Err() == nil || d.mostlyMissing() {
-		f.delegates.Failed(d.group.Host, time.Now())
-		f.logFailedDelegation(d, sent, err)
+	cancelled := ctx.Err() != nil
+	if !cancelled || d.mostlyMissing() {
+		f.delegates.Failed(d.host, time.Now())
+		d.logFailure(sent, err)
 	}
 	var results []attemptResult
-	for position, sub := range d.subs {
-		if d.done[position] {
+	for i := range d.attempts {
+		a := &d.attempts[i]
+		switch {
+		case a.done:
 			continue
-		}
-		// A host that passed on other results reached this server too, or would have reported that it could not.
-		if d.answered && ctx.Err() != nil {
-			d.to[position].server.ExchangeEnded(d.sent, time.Now(), true)
-		} else {
-			d.to[position].server.ExchangeDiscarded(d.sent)
-		}
-		if !sent && ctx.Err() == nil {
-			go d.attemptDirectly(ctx, position)
+		case !sent && !cancelled:
+			a.to.server.ExchangeDiscarded(d.sent)
+			go d.attemptDirectly(a)
 			continue
+		case d.answered && cancelled:
+			// A host that passed on other results reached this server too, or would have reported that it could not.
+			a.to.server.ExchangeEnded(d.sent, time.Now(), true)
+		default:
+			a.to.server.ExchangeDiscarded(d.sent)
 		}
-		failed := attemptResult{answer: scatterer.NotSent(sub), sent: d.sent}
+		failed := attemptResult{answer: scatterer.NotSent(a.sub), sent: d.sent}
 		failed.answer.Outcome, failed.answer.Reason = broker.OutcomeUnknown, broker.ReasonUnreachable
 		results = append(results, failed)
 	}
@@ -137,48 +169,39 @@
 }
 
 // attemptDirectly makes one attempt of the delegation by an exchange of this host.
-func (d *delegation) attemptDirectly(ctx context.Context, position int) {
-	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), d.session.deadline)
+func (d *delegation) attemptDirectly(a *delegatedAttempt) {
+	ctx, cancel := context.WithDeadline(a.ctx, d.session.deadline)
 	defer cancel()
-	d.session.inbox <- arrival{results: []attemptResult{d.session.attempt(attemptCtx, d.subs[position], d.to[position])}}
+	d.session.inbox <- arrival{results: []attemptResult{d.session.attempt(ctx, a.sub, a.to)}}
 }
 
 // deliver passes results of the host on to the session.
 func (d *delegation) deliver(results *broker.PartResults) {
-	f := d.session.forwarder
 	now := time.Now()
 	overhead := max(now.Sub(d.sent)-results.Elapsed, 0)
 	if !d.answered {
 		d.answered = true
-		f.delegates.Answered(d.group.Host, overhead, now)
+		d.session.forwarder.delegates.Answered(d.host, overhead, now)
 	}
 	arrived := arrival{results: make([]attemptResult, 0, len(results.Parts))}
 	merged := &mergedParts{records: results.Records}
 	for i := range results.Parts {
 		part := &results.Parts[i]
-		sub, to := d.subs[part.Position], d.to[part.Position]
-		d.done[part.Position] = true
+		a := &d.attempts[part.Position]
+		a.done = true
 		d.missing.Add(-1)
+		a.settle()
 		if part.Outcome == broker.OutcomeNotRun && part.Reason == broker.ReasonNoReplica {
 			// The host does not know the server.
-			to.server.ExchangeDiscarded(d.sent)
-			go d.attemptDirectly(context.Background(), part.Position)
+			a.to.server.ExchangeDiscarded(d.sent)
+			go d.attemptDirectly(a)
 			continue
 		}
-		if part.Reason == broker.ReasonMoved {
-			to.server.MarkReassigned(to.instance.Address)
-		}
-		ended := attemptResult{answer: scatterer.NotSent(sub), sent: d.sent}
-		ended.answer.Outcome, ended.answer.Reason = part.Outcome, part.Reason
-		ended.answer.Latency = part.Latency + overhead
-		to.server.ExchangeEnded(d.sent, d.sent.Add(ended.answer.Latency), part.Outcome != broker.OutcomeAnswered)
+		arrived.results = append(arrived.results, d.evaluate(a, part, part.Latency+overhead))
 		if part.Outcome == broker.OutcomeAnswered {
-			ended.opaque = &broker.OpaqueAnswer{Signature: part.Signature}
-			merged.shards = append(merged.shards, sub.Shard)
+			merged.shards = append(merged.shards, a.sub.Shard)
 			merged.signatures = append(merged.signatures, part.Signature)
 		}
-		d.session.recordForQuarantine(sub, part.Sent, part.Outcome == broker.OutcomeAnswered, part.Reason)
-		arrived.results = append(arrived.results, ended)
 	}
 	if len(merged.shards) > 0 {
 		arrived.merged = merged
@@ -188,12 +211,29 @@
 	}
 }
 
+// evaluate records the result of one attempt for its server and returns it for the session.
+func (d *delegation) evaluate(a *delegatedAttempt, part *broker.PartResult, latency time.Duration) attemptResult {
+	answered := part.Outcome == broker.OutcomeAnswered
+	if part.Reason == broker.ReasonMoved {
+		a.to.server.MarkReassigned(a.to.instance.Address)
+	}
+	a.to.server.ExchangeEnded(d.sent, d.sent.Add(latency), !answered)
+	d.session.recordForQuarantine(a.sub, part.Sent, answered, part.Reason)
+	ended := attemptResult{answer: scatterer.NotSent(a.sub), sent: d.sent}
+	ended.answer.Outcome, ended.answer.Reason, ended.answer.Latency = part.Outcome, part.Reason, latency
+	if answered {
+		ended.opaque = &broker.OpaqueAnswer{Signature: part.Signature}
+	}
+	return ended
+}
+
 // mostlyMissing reports whether more than half of the results are missing. Pauses and failures of servers delay fewer.
-func (d *delegation) mostlyMissing() bool { return 2*d.missing.Load() > int64(len(d.subs)) }
+func (d *delegation) mostlyMissing() bool { return 2*d.missing.Load() > int64(len(d.attempts)) }
 
-func (f *Forwarder) logFailedDelegation(d *delegation, sent bool, err error) {
+func (d *delegation) logFailure(sent bool, err error) {
+	f := d.session.forwarder
 	if skipped, ok := f.requestLogLimiter.Allow(time.Now()); ok {
-		f.logger.Warn("delegation failed", "id", d.session.request.ID, "host", d.group.Host, "sent", sent,
-			"subRequests", len(d.done), "missing", d.missing.Load(), "error", err, "skippedLines", skipped)
+		f.logger.Warn("delegation failed", "id", d.session.request.ID, "host", d.host, "sent", sent,
+			"subRequests", len(d.attempts), "missing", d.missing.Load(), "error", err, "skippedLines", skipped)
 	}
 }
