--- a/internal/broker/coordination/scatterer/strategy_test.go
+++ b/internal/broker/coordination/scatterer/strategy_test.go
@@ -184,3 +184,36 @@
 		t.Errorf("simultaneous requests to two cold servers: got %d, want %d", sent, want)
 	}
 }
+
+// TestZoneCost guards against sub-requests to zones without a delegate while another zone has one, and against spreading
+// them over several delegates, which takes more bytes.
+func TestZoneCost(t *testing.T) {
+	s := &Session{strategy: Strategy{Zone: "a", DelegatedZones: []string{"c", "b"}}}
+	zones := []string{"a", "c", "b", "d"} // in the wanted order
+	for i := range zones[1:] {
+		if nearer, farther := s.zoneCost(zones[i]), s.zoneCost(zones[i+1]); nearer >= farther {
+			t.Errorf("cost of zone %s: got %s, want less than the %s of zone %s", zones[i], nearer, farther, zones[i+1])
+		}
+	}
+	s.strategy.DelegatedZones = []string{"b", "c", "d", "e", "f"}
+	if got, want := s.zoneCost("f"), s.zoneCost("none"); got > want {
+		t.Errorf("cost of the last zone with a delegate: got %s, want at most %s", got, want)
+	}
+}
+
+// TestStatedLatency guards against hedges that are sent late because answers were held back to be merged: the latency
+// that a delegate states is recorded in place of the time until its message arrived.
+func TestStatedLatency(t *testing.T) {
+	f := directFixture(1)
+	stated, arrived := 5*time.Millisecond, 50*time.Millisecond
+	for range 200 {
+		s, actions := startDirect(f, Strategy{MaxAttempts: 1})
+		answer := NotSent(actions.Sends[0].Sub)
+		answer.Outcome, answer.Latency = broker.OutcomeAnswered, stated
+		s.AnswerOpaque(epoch.Add(arrived), &answer, &broker.OpaqueAnswer{})
+	}
+	_, actions := startDirect(f, Strategy{MaxAttempts: 2, Target: time.Second})
+	if got := actions.Sends[0].HedgeAfter; got < stated/2 || got > 2*stated {
+		t.Errorf("time until a hedge: got %s, want about %s", got, stated)
+	}
+}
--- a/internal/broker/state/registrar/registrar_test.go
+++ b/internal/broker/state/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -81,3 +82,78 @@
 		}
 	}
 }
+
+// TestLocality guards against sending callers to hosts of a zone in which no server takes requests, and against
+// delegates there.
+func TestLocality(t *testing.T) {
+	server := func(id, service, zone string, draining bool) broker.Registration {
+		return broker.Registration{ID: id, Service: service, Zone: zone, Draining: draining}
+	}
+	tests := []struct {
+		name    string
+		servers []broker.Registration
+		leaving []string
+		want    map[string]int
+	}{
+		{name: "shares", want: map[string]int{"a": 4, "b": 2}, servers: []broker.Registration{
+			server("1", "s1", "a", false), server("2", "s2", "a", false), server("3", "s1", "b", false),
+		}},
+		{name: "draining server", want: map[string]int{"a": 2}, servers: []broker.Registration{
+			server("1", "s1", "a", false), server("2", "s2", "a", true), server("3", "s1", "b", true),
+		}},
+		{name: "zone to leave", want: map[string]int{"b": 2}, leaving: []string{"a"}, servers: []broker.Registration{
+			server("1", "s1", "a", false), server("2", "s2", "a", false), server("3", "s1", "b", false),
+		}},
+		{name: "service without scatters", want: map[string]int{"a": 2}, servers: []broker.Registration{
+			server("1", "s1", "a", false), server("2", "other", "b", false),
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New(tracker.New(), fakeSink{}, "a", nil)
+			r.Adopt(&broker.Catalog{Version: 1, Routes: []broker.Route{{Name: "all", Shards: []string{"s1", "s2"}}}})
+			r.SetZonesToLeave(tt.leaving)
+			servers := map[string]broker.Registration{}
+			for _, each := range tt.servers {
+				servers[each.ID] = each
+			}
+			r.SetServers(servers, true, time.Unix(1_800_000_000, 0))
+			if got := r.View().Locality; !maps.Equal(got, tt.want) {
+				t.Errorf("locality: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// retainSink records the idle connections that are to be kept.
+type retainSink struct {
+	fakeSink
+	idle map[broker.ServerName]int
+}
+
+func (s retainSink) Retain(server broker.ServerName, minIdle int) { s.idle[server] = minIdle }
+
+// TestRoles guards against hosts on standby that hold connections to servers, and against delegates that open a
+// connection for each request of their zone or hold some to other zones.
+func TestRoles(t *testing.T) {
+	tests := []struct {
+		role Role
+		want map[broker.ServerName]int
+	}{
+		{RoleServing, map[broker.ServerName]int{"1": 1, "2": 1}},
+		{RoleDelegate, map[broker.ServerName]int{"1": 1, "2": 0}},
+		{RoleStandby, map[broker.ServerName]int{"1": 0, "2": 0}},
+	}
+	for _, tt := range tests {
+		sink := retainSink{idle: map[broker.ServerName]int{}}
+		r := New(tracker.New(), sink, "a", nil)
+		r.Adopt(&broker.Catalog{Version: 1})
+		r.SetServers(map[string]broker.Registration{
+			"1": {ID: "1", Service: "s1", Zone: "a"}, "2": {ID: "2", Service: "s1", Zone: "b"},
+		}, true, time.Unix(1_800_000_000, 0))
+		r.SetRole(tt.role)
+		if !maps.Equal(sink.idle, tt.want) {
+			t.Errorf("idle connections of role %d: got %v, want %v", tt.role, sink.idle, tt.want)
+		}
+	}
+}
