Add a command that states why requests lost worth

Change: yuccarock losses reads the request lines of hosts and gives each loss one cause, by window and in total; the bytes between zones by cause are counters since the delegations.

--- a/main.go
+++ b/main.go
@@ -12,6 +12,7 @@
 var version = "dev"
 
 func main() {
-	root := cmd.New(version, cmd.DefaultDependencies(), cmd.NewServe(), cmd.NewHost(), cmd.NewModel(), cmd.NewDemo())
+	root := cmd.New(version, cmd.DefaultDependencies(), cmd.NewServe(), cmd.NewHost(), cmd.NewModel(), cmd.NewLosses(),
+		cmd.NewDemo())
 	os.Exit(cmd.Run(context.Background(), root, os.Args))
 }
