--- a/internal/broker/delegation.go
+++ b/internal/broker/delegation.go
@@ -24,6 +24,8 @@
 	TopRecords int `cbor:"9,keyasint"`
 	// Servers are the receivers of the sub-requests, one of each shard.
 	Servers []ServerName `cbor:"10,keyasint"`
+	// TraceParent is the trace context of the request, empty without tracing.
+	TraceParent string `cbor:"11,keyasint,omitempty"`
 }
 
 // PartResults are results of sub-requests of a delegation. Records merges the parts of all answered ones, so that they
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -11,6 +11,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/collator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/delegator"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/tracer"
 )
 
 // runDelegation makes the attempts of another host's scatter at servers near this host.
@@ -22,7 +23,7 @@
 		return &Error{Op: "run a delegation", Kind: KindNotReady, Err: errors.New("the host is " + f.drainer.State())}
 	}
 	defer f.drainer.End()
-	ctx, span := f.tracer.Start(ctx, "delegate.request", attribute.Int("attempts", len(message.Servers)))
+	ctx, span := f.tracer.Start(tracer.WithTraceParent(ctx, message.TraceParent), "delegate.request", attribute.Int("attempts", len(message.Servers)))
 	defer span.End()
 	arrivedAt := time.Now()
 	deadline := arrivedAt.Add(message.Remaining)
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -10,6 +10,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/delegator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
+	"github.com/yuccarock/yuccarock/internal/tracer"
 )
 
 const (
@@ -84,6 +85,7 @@
 		d.add(ctx, sends[i].Sub)
 	}
 	message := d.message()
+	message.TraceParent = tracer.TraceParent(ctx)
 	message.CollectFor = delegator.CollectTime(hedgeAfter, d.overhead, defaultCollectTime)
 	d.silence = time.AfterFunc(message.CollectFor+d.overhead+silenceMargin, func() {
 		if d.mostlyMissing() {
