Keep the handler for other hosts and the role of a host apart

Cause: read as a newcomer, servePeers stood in the file on quarantine, and updateHostShare decided the role in its body. Result: tests of forwarder pass; no change of behaviour.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -347,18 +347,24 @@
 	f.registrar.SetHostCount(len(serving))
 	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
 	f.lifetime.observe(serving, time.Now())
+	f.registrar.SetRole(f.ownRole(serving, helping))
+	// A host that has not answered yet may be gone, and a delegation to it would take until its dial timeout.
 	ready := f.prober.Ready()
 	f.delegates.Set(slices.DeleteFunc(slices.Concat(serving, helping), func(host broker.HostRecord) bool {
 		return !ready[host.Name]
 	}))
+}
+
+// ownRole returns the role of this host, given the serving hosts and the delegates of zones without one.
+func (f *Forwarder) ownRole(serving, helping []broker.HostRecord) registrar.Role {
 	self := func(host broker.HostRecord) bool { return host.Name == f.settings.Node }
 	switch {
 	case slices.ContainsFunc(serving, self):
-		f.registrar.SetRole(registrar.RoleServing)
+		return registrar.RoleServing
 	case slices.ContainsFunc(helping, self):
-		f.registrar.SetRole(registrar.RoleDelegate)
+		return registrar.RoleDelegate
 	default:
-		f.registrar.SetRole(registrar.RoleStandby)
+		return registrar.RoleStandby
 	}
 }
 
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -12,8 +12,6 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
-	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
-	"github.com/yuccarock/yuccarock/internal/broker/transport/messenger"
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
@@ -170,12 +168,3 @@
 		f.logger.Warn("could not pass crash reports on", "host", host.Name, "reports", len(reports), "error", err)
 	}
 }
-
-// servePeers returns the handler for requests of other hosts.
-func (f *Forwarder) servePeers() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET "+relayer.Path(""), f.feeds.handler())
-	mux.HandleFunc("POST "+crashesPath, f.quarantine.serveReports)
-	mux.Handle("POST "+messenger.Path, messenger.NewHandler(f.runDelegation, f.set, f.logger))
-	return mux
-}
