Decide in the plan that only first attempts are delegated, and test what a delegate refuses

Cause: one-line faults that no fast test noticed: hedges delegated too (a shard in two merged messages), a delegate that uses draining servers, an address that moved used again, a full budget after a restart.

--- a/internal/broker/coordination/budgeter/shards_test.go
+++ b/internal/broker/coordination/budgeter/shards_test.go
@@ -65,3 +65,11 @@
 		}
 	}
 }
+
+// TestRestartedHost guards against a host that gets its whole burst again at each restart.
+func TestRestartedHost(t *testing.T) {
+	const burst = 10
+	if got, want := NewShards(0.17, burst).Shard("s1").Tokens(), float64(burst)/2; got > want {
+		t.Errorf("tokens at the start: got %v, want at most %v", got, want)
+	}
+}
--- a/internal/broker/coordination/delegator/delegates.go
+++ b/internal/broker/coordination/delegator/delegates.go
@@ -84,19 +84,27 @@
 // Group is a set of sub-requests to delegate to one host.
 type Group struct {
 	Host netip.AddrPort
-	// Members are positions in the list of zones that the plan was made for.
+	// Members are positions in the list that the plan was made for.
 	Members []int
 	// Overhead is the time that the delegation is expected to add to the exchanges with the servers.
 	Overhead time.Duration
 }
 
+// SubRequest is what a plan needs to know of a sub-request.
+type SubRequest struct {
+	Zone string // of its server
+	// First is whether it is the first attempt at its shard.
+	First bool
+}
+
 // Plan groups sub-requests by the zones of their servers. Those that are in no group are sent by this host: sub-requests
-// to its own zone, to a zone without a usable host, or too few for a delegation to be smaller than they are.
-func (d *Delegates) Plan(zones []string, now time.Time) []Group {
+// to its own zone, to a zone without a usable host, or too few for a delegation to be smaller than they are. Only first
+// attempts are delegated: merged answers cannot be separated, so that a shard must not be in two delegations.
+func (d *Delegates) Plan(subRequests []SubRequest, now time.Time) []Group {
 	byZone := make(map[string][]int)
-	for i, zone := range zones {
-		if zone != d.zone {
-			byZone[zone] = append(byZone[zone], i)
+	for i, sub := range subRequests {
+		if sub.First && sub.Zone != d.zone {
+			byZone[sub.Zone] = append(byZone[sub.Zone], i)
 		}
 	}
 	d.mu.Lock()
--- a/internal/broker/coordination/delegator/delegator_test.go
+++ b/internal/broker/coordination/delegator/delegator_test.go
@@ -25,14 +25,17 @@
 	withoutPeer := host(4, "d")
 	withoutPeer.Peer = netip.AddrPort{}
 	tests := []struct {
-		name   string
-		zones  []string
-		failed []broker.HostRecord
-		want   map[netip.AddrPort][]int
+		name    string
+		zones   []string
+		further []int // positions of hedges and retries
+		failed  []broker.HostRecord
+		want    map[netip.AddrPort][]int
 	}{
 		{name: "own zone", zones: []string{"a", "a", "a"}},
 		{name: "two zones", zones: []string{"b", "a", "c", "b", "c", "b"},
 			want: map[netip.AddrPort][]int{hosts[1].Peer: {0, 3, 5}, hosts[2].Peer: {2, 4}}},
+		{name: "hedges and retries", zones: []string{"b", "b", "b", "c", "c"}, further: []int{1, 3},
+			want: map[netip.AddrPort][]int{hosts[1].Peer: {0, 2}}},
 		{name: "too few", zones: []string{"b", "a", "a"}},
 		{name: "zone without a host", zones: []string{"d", "d", "e", "e"}},
 		{name: "host that failed", zones: []string{"b", "b", "c", "c"}, failed: hosts[1:2],
@@ -45,8 +48,15 @@
 			for _, failed := range tt.failed {
 				d.Failed(failed.Peer, epoch)
 			}
+			if slices.Contains(d.Zones(epoch), "a") {
+				t.Error("the own zone has a delegate")
+			}
+			subRequests := make([]SubRequest, len(tt.zones))
+			for i, zone := range tt.zones {
+				subRequests[i] = SubRequest{Zone: zone, First: !slices.Contains(tt.further, i)}
+			}
 			got := make(map[netip.AddrPort][]int)
-			for _, group := range d.Plan(tt.zones, epoch) {
+			for _, group := range d.Plan(subRequests, epoch) {
 				got[group.Host] = group.Members
 			}
 			if len(got) != len(tt.want) {
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -48,15 +48,13 @@
 func (s *session) startAttempts(ctx context.Context, sends []scatterer.Send) {
 	delegated := make([]bool, len(sends))
 	if s.route.Scatter() && len(sends) > 1 {
-		zones := make([]string, len(sends))
+		subRequests := make([]delegator.SubRequest, len(sends))
 		for i, send := range sends {
-			zones[i] = s.forwarder.settings.Zone
-			// Only the first attempt at a shard is delegated, so that each shard is in at most one delegation.
-			if to, ok := s.forwarder.receiver(s.view, send.Sub.Server); ok && send.Sub.Attempt == 1 {
-				zones[i] = to.instance.Zone
+			if to, ok := s.forwarder.receiver(s.view, send.Sub.Server); ok {
+				subRequests[i] = delegator.SubRequest{Zone: to.instance.Zone, First: send.Sub.Attempt == 1}
 			}
 		}
-		for _, group := range s.forwarder.delegates.Plan(zones, time.Now()) {
+		for _, group := range s.forwarder.delegates.Plan(subRequests, time.Now()) {
 			for _, i := range group.Members {
 				delegated[i] = true
 			}
