--- a/internal/broker/coordination/scatterer/strategy_test.go
+++ b/internal/broker/coordination/scatterer/strategy_test.go
@@ -49,6 +49,7 @@
 	}{
 		{name: "all before the target", early: 4, wantAt: 10 * time.Millisecond},
 		{name: "enough before the target", early: 3, wantAt: 70 * time.Millisecond},
+		{name: "just enough before the target", early: 2, wantAt: 70 * time.Millisecond},
 		{name: "enough after the target", early: 1, late: 2, wantAt: 90 * time.Millisecond},
 	}
 	for _, tt := range tests {
