Check that a host is no delegate before its first answer

Cause: the one-line fault that makes hosts delegates before they have answered a probe was noticed by no test.

--- a/internal/forwarder/resolve_test.go
+++ b/internal/forwarder/resolve_test.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
@@ -41,3 +43,23 @@
 		})
 	}
 }
+
+// TestUnansweredDelegate guards against delegations to a host that has not answered a probe and may be gone.
+func TestUnansweredDelegate(t *testing.T) {
+	none := []string{}
+	silent := &silentHosts{}
+	silent.names.Store(&none)
+	f := newTestForwarder(silent)
+	f.prober.SetHosts(map[string]broker.HostRecord{
+		"b": {Name: "b", Zone: "b", Capacity: 1, Peer: netip.MustParseAddrPort("127.0.0.1:7380")},
+	})
+	f.updateHostShare()
+	if got := f.delegates.Zones(time.Now()); len(got) != 0 {
+		t.Errorf("zones with a delegate before the first probe: got %v, want none", got)
+	}
+	f.prober.Probe(t.Context(), []string{"b"})
+	f.updateHostShare()
+	if got, want := f.delegates.Zones(time.Now()), []string{"b"}; !slices.Equal(got, want) {
+		t.Errorf("zones with a delegate: got %v, want %v", got, want)
+	}
+}
