Use one check for delegates that may be used, and a clearer name

Change: Zones asks pick; exchangeResult; the line is split. Ruled out: changing the price of zones for routes to one server now, which would change behaviour without a measurement.

--- a/internal/broker/coordination/delegator/delegates.go
+++ b/internal/broker/coordination/delegator/delegates.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -72,8 +71,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	usable := make([]string, 0, len(d.zones))
-	for zone, hosts := range d.zones {
-		if slices.ContainsFunc(hosts, func(host netip.AddrPort) bool { return !now.Before(d.hosts[host].avoidUntil) }) {
+	for zone := range d.zones {
+		if _, ok := d.pick(zone, now); ok {
 			usable = append(usable, zone)
 		}
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -26,8 +26,8 @@
 	return to, to.instance != nil && to.server != nil
 }
 
-// exchanged is the result of one exchange with a backend server.
-type exchanged struct {
+// exchangeResult is the result of one exchange with a backend server.
+type exchangeResult struct {
 	broker.Classification
 	answer  *broker.OpaqueAnswer // nil if no complete answer was received
 	sent    bool                 // whether any byte of the request may have reached the server
@@ -38,7 +38,7 @@
 // as a failure.
 func (f *Forwarder) exchange(
 	ctx context.Context, request *broker.OpaqueRequest, sub *broker.SubRequest, to receiver, deadline time.Time, part bool,
-) exchanged {
+) exchangeResult {
 	if trace.SpanFromContext(ctx).IsRecording() {
 		spanCtx, span := f.tracer.Start(ctx, "entry.attempt", attribute.String("shard", string(sub.Shard)),
 			attribute.String("server", string(sub.Server)), attribute.Int("attempt", int(sub.Attempt)))
@@ -57,7 +57,7 @@
 	if to.instance.Zone != f.settings.Zone {
 		f.meters.crossZone(sub.Attempt, reply.BytesSent, reply.BytesReceived)
 	}
-	result := exchanged{answer: reply.Answer, sent: reply.Sent, latency: now.Sub(sent)}
+	result := exchangeResult{answer: reply.Answer, sent: reply.Sent, latency: now.Sub(sent)}
 	if reply.Answer == nil {
 		result.Outcome, result.Reason = broker.OutcomeUnknown, reply.Reason
 		if !reply.Sent {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -23,7 +23,8 @@
 		return &Error{Op: "run a delegation", Kind: KindNotReady, Err: errors.New("the host is " + f.drainer.State())}
 	}
 	defer f.drainer.End()
-	ctx, span := f.tracer.Start(tracer.WithTraceParent(ctx, message.TraceParent), "delegate.request", attribute.Int("attempts", len(message.Servers)))
+	ctx, span := f.tracer.Start(tracer.WithTraceParent(ctx, message.TraceParent), "delegate.request",
+		attribute.Int("attempts", len(message.Servers)))
 	defer span.End()
 	arrivedAt := time.Now()
 	deadline := arrivedAt.Add(message.Remaining)
