Send at most two canaries before any server has answered

Cause: when a canary had not answered within the 95th percentile of its shard's latency (about 10 ms in the demo), the entry host sent the request to all other shards. A crash is known to the entry host only after its owner has probed the server; when that takes longer than the percentile, each shard loses a server. Second cause, found beside it: equal first requests at several nodes had random canaries.

Change: after the percentile only one more canary is sent, to the next shard, and counts as the one trial if the first one turns out to have crashed its server. The others wait until a server has survived the request. A canary that ends without that is followed by another one. Equal requests order shards and replicas by their fingerprint, so that their canaries meet at one owner, which runs them one by one; all that wait go on after an answer. A node that knows that a request is quarantined rejects it at once. Hedges wait until the canaries are over.

Ruled out: a longer wait (a slow machine exceeds any); announcing suspects before the probe (a lost connection is mostly no crash); asking other nodes before a first run (a round trip for each new request).

TestSessionProperties checks it for random orders.

--- a/internal/broker/coordination/owner/attempt.go
+++ b/internal/broker/coordination/owner/attempt.go
@@ -148,7 +148,7 @@
 	s.mu.Unlock()
 	if !lost {
 		s.endTrial(c, verdict, result.BytesSent, now)
-		s.answer(c, result.Answer)
+		s.owner.answer(c, result.Answer)
 	}
 	s.applyEffects(&e, nil)
 }
--- a/internal/broker/coordination/owner/call.go
+++ b/internal/broker/coordination/owner/call.go
@@ -26,12 +26,15 @@
 	holdsTrial bool // is the trial run of its fingerprint
 	dispatched bool
 	bootID     string // of the server when the call was dispatched
+
+	runsAsCanary bool // equal requests wait for it
 }
 
 // Handle runs one sub-request and returns its answer; it cancels the sub-request when ctx ends.
 func (o *Owner) Handle(ctx context.Context, sub broker.SubRequest) broker.SubAnswer {
 	answers := make(chan broker.SubAnswer, 1)
 	c := &call{sub: sub, ctx: ctx, reply: func(answer broker.SubAnswer) { answers <- answer }}
+	c.deadline = o.clock.Now().Add(sub.Remaining)
 	o.work.Add(1)
 	defer o.work.Done()
 	if o.admitOrRefuse(c) {
@@ -52,7 +55,7 @@
 	key := keyOf(&sub)
 	// This context carries the deadline, so run needs no context of its own.
 	ctx, stop := context.WithTimeout(context.Background(), sub.Remaining)
-	c := &call{sub: sub, ctx: ctx, stop: stop}
+	c := &call{sub: sub, ctx: ctx, stop: stop, deadline: o.clock.Now().Add(sub.Remaining)}
 	c.reply = func(answer broker.SubAnswer) {
 		o.calls.remove(key)
 		stop()
@@ -85,23 +88,29 @@
 // admitOrRefuse submits a call to its server and returns whether the caller has to run it now.
 func (o *Owner) admitOrRefuse(c *call) bool {
 	now := o.clock.Now()
-	c.deadline = now.Add(c.sub.Remaining)
-	s := o.serverSet.Load().servers[c.sub.Server]
-	if s == nil {
-		o.counters.notRun.Inc()
-		c.reply(refuse(&c.sub, broker.ReasonNotOwner, 0))
-		return false
+	if c.server == nil {
+		s := o.serverSet.Load().servers[c.sub.Server]
+		if s == nil {
+			o.answer(c, refuse(&c.sub, broker.ReasonNotOwner, 0))
+			return false
+		}
+		c.server = s
 	}
-	c.server = s
 	switch state := o.quarantine.State(c.sub.Fingerprint, now); state {
 	case quarantiner.Quarantined, quarantiner.OnTrial:
 		o.counters.quarantined.Inc()
-		s.answer(c, refuse(&c.sub, refusalReason(state), 0))
+		o.answer(c, refuse(&c.sub, refusalReason(state), 0))
 		return false
 	case quarantiner.Suspect:
 		c.alone = true
 	}
-	return s.admit(c, now)
+	if c.sub.Canary && !c.runsAsCanary {
+		if !o.canaries.enter(c) {
+			return false
+		}
+		c.runsAsCanary = true
+	}
+	return c.server.admit(c, now)
 }
 
 func (s *server) admit(c *call, now time.Time) bool {
@@ -109,7 +118,7 @@
 	s.mu.Lock()
 	if s.released.Load() {
 		s.mu.Unlock()
-		s.answer(c, refuse(&c.sub, broker.ReasonNotOwner, 0))
+		s.owner.answer(c, refuse(&c.sub, broker.ReasonNotOwner, 0))
 		return false
 	}
 	s.lastTicket++
@@ -132,19 +141,20 @@
 	s.update(func(a *admitter.Admitter) []admitter.Action { return a.Cancel(c.ticket, now) })
 }
 
-// answer counts an answer and sends it; s.mu must not be held.
-func (s *server) answer(c *call, answer broker.SubAnswer) {
+// answer counts an answer, sends it, and lets the requests go on that waited for the call; no server may be locked.
+func (o *Owner) answer(c *call, answer broker.SubAnswer) {
 	switch answer.Outcome {
 	case broker.OutcomeAnswered:
-		s.owner.counters.answered.Inc()
+		o.counters.answered.Inc()
 	case broker.OutcomeNotRun:
-		s.owner.counters.notRun.Inc()
+		o.counters.notRun.Inc()
 	case broker.OutcomeFailed:
-		s.owner.counters.failed.Inc()
+		o.counters.failed.Inc()
 	default:
-		s.owner.counters.unknown.Inc()
+		o.counters.unknown.Inc()
 	}
 	c.reply(answer)
+	o.endCanary(c, answer.Outcome)
 }
 
 // callKey identifies an attempt across all entry hosts.
--- a/internal/broker/coordination/owner/owner.go
+++ b/internal/broker/coordination/owner/owner.go
@@ -75,6 +75,7 @@
 
 	serverSet *holder.Holder[serverSet]
 	calls     callRegistry
+	canaries  canaryQueue
 	work      sync.WaitGroup
 }
 
@@ -88,7 +89,7 @@
 		options: options, backend: backend, connections: connections, holdsLease: holdsLease, quarantine: quarantine,
 		clock: clock, events: events, counters: newCounters(set),
 		serverSet: holder.New(&serverSet{servers: map[broker.ServerName]*server{}}),
-		calls:     newCallRegistry(),
+		calls:     newCallRegistry(), canaries: newCanaryQueue(),
 	}
 }
 
--- a/internal/broker/coordination/owner/probe.go
+++ b/internal/broker/coordination/owner/probe.go
@@ -112,7 +112,7 @@
 		} else if pending.call.holdsTrial {
 			s.owner.quarantine.AbandonTrial(pending.call.sub.Fingerprint, s.name, unansweredTTL, now)
 		}
-		s.answer(pending.call, pending.answer)
+		s.owner.answer(pending.call, pending.answer)
 	}
 	s.applyEffects(&e, nil)
 }
--- a/internal/broker/coordination/owner/server.go
+++ b/internal/broker/coordination/owner/server.go
@@ -119,7 +119,7 @@
 		}()
 	}
 	for _, r := range e.refused {
-		s.answer(r.call, refuse(&r.call.sub, r.reason, e.queued))
+		s.owner.answer(r.call, refuse(&r.call.sub, r.reason, e.queued))
 	}
 	if e.checkCrash {
 		s.owner.work.Add(1)
--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -108,7 +108,7 @@
 	if s.trialShard == i && s.crashes == 1 {
 		s.suspect, s.trialShard = false, -1
 		s.startRemaining()
-	} else if s.canaryShard == i {
+	} else if s.isCanary(i) {
 		s.startRemaining()
 	}
 	s.stopIfCovered()
@@ -164,6 +164,7 @@
 		s.stats.Crashes++
 		s.crashes++
 		s.suspect = true
+		s.countCanaryAsTrial(i)
 	}
 	switch {
 	case outcome == broker.OutcomeNotRun && reason == broker.ReasonQuarantined:
@@ -175,6 +176,7 @@
 		}
 	case s.retry(i, outcome, reason):
 	case s.awaitOwner(i, outcome, reason):
+	case s.awaitTrial(i):
 	default:
 		s.markMissing(i, reason)
 		s.resolveUnstarted(i, outcome)
@@ -189,9 +191,31 @@
 	switch {
 	case s.suspect && (s.trialShard < 0 || s.trialShard == i):
 		s.markUnstartedMissing(broker.ReasonCrashed)
-	case s.canaryShard == i && outcome != broker.OutcomeNotRun:
-		s.startRemaining()
+	case s.isCanary(i):
+		s.endCanary(i, outcome, s.shards[i].reason)
+	}
+}
+
+// countCanaryAsTrial makes the other canary in flight the one trial that a suspect is allowed, after a canary crashed
+// the server of shard i.
+func (s *Session) countCanaryAsTrial(i int) {
+	if s.crashes != 1 || s.secondCanary < 0 || !s.isCanary(i) {
+		return
+	}
+	s.trialShard = s.canaryShard + s.secondCanary - i
+	s.canaryShard, s.secondCanary = s.trialShard, -1
+}
+
+// awaitTrial lets shard i wait for the trial that runs at another shard; it is retried if the trial clears the request.
+func (s *Session) awaitTrial(i int) bool {
+	sh := &s.shards[i]
+	if !s.suspect || s.crashes > 1 || s.trialShard < 0 || s.trialShard == i || s.attemptsExhausted(sh) ||
+		!s.takeRetryToken(sh) {
+		return false
 	}
+	s.stats.Retries++
+	sh.state = shardUnstarted
+	return true
 }
 
 // tryOtherOwner returns whether another node may own or reach a server after a refusal for this reason.
--- a/internal/broker/coordination/scatterer/finish.go
+++ b/internal/broker/coordination/scatterer/finish.go
@@ -40,9 +40,10 @@
 	}
 }
 
-// needsRerun returns whether too few shards still have the pinned snapshot and more of them have another one.
+// needsRerun returns whether too few shards still have the pinned snapshot and more of them have another one. A canary
+// in flight is awaited first, because a cancelled one may go on running.
 func (s *Session) needsRerun() bool {
-	if !s.kind.Idempotent || s.run > 0 || s.finished || s.suspect {
+	if !s.kind.Idempotent || s.run > 0 || s.finished || s.suspect || s.awaitsCanary() {
 		return false
 	}
 	available := len(s.shards) - s.snapshotMisses
@@ -61,7 +62,7 @@
 	s.snapshot = s.bestSnapshot(s.snapshot).Snapshot
 	s.run++
 	s.unresolved = len(s.shards)
-	s.answered, s.snapshotMisses, s.canaryShard = 0, 0, -1
+	s.answered, s.snapshotMisses, s.canaryShard, s.secondCanary = 0, 0, -1, -1
 	s.parts = nil
 	s.merged.reset()
 	s.stats.Reruns++
--- a/internal/broker/coordination/scatterer/golden_test.go
+++ b/internal/broker/coordination/scatterer/golden_test.go
@@ -123,6 +123,8 @@
 	var options struct {
 		Shards, Replicas int
 		Suspect          bool
+		Quarantined      bool
+		Fingerprint      broker.Fingerprint
 		Routing          configurator.Routing
 		Kind             configurator.RequestKind
 	}
@@ -134,7 +136,10 @@
 			shard.Latency.Record(epoch, 10*time.Millisecond)
 		}
 	}
-	request := Request{Query: broker.Query{RequestID: "r1", Limit: 3}, Suspect: options.Suspect}
+	request := Request{
+		Query: broker.Query{RequestID: "r1", Limit: 3}, Fingerprint: options.Fingerprint,
+		Suspect: options.Suspect, Quarantined: options.Quarantined,
+	}
 	request.Deadline = epoch.Add(200 * time.Millisecond)
 	s.session = s.fixture.session(1, request, epoch)
 }
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -33,34 +33,92 @@
 		s.startRemaining()
 		return
 	}
-	start := s.random.IntN(len(s.shards))
-	cold := false
+	i, reasons := s.sendCanary()
+	if i >= 0 {
+		s.canaryShard = i
+		if s.suspect {
+			s.trialShard = i
+		}
+		s.scheduleSecondCanary()
+		return
+	}
+	if slices.Contains(reasons, broker.ReasonCold) {
+		s.schedule(s.deadline/recheckDivisor, 0, timerRetryCanary)
+		return
+	}
+	for i := range s.shards {
+		if s.shards[i].state == shardUnstarted {
+			s.markMissing(i, s.shards[i].reason)
+		}
+	}
+}
+
+// sendCanary sends the first attempt at one unstarted shard and returns its position, or -1 and the reasons why no shard
+// has a replica for it. Equal requests go to the shards in the same order, whichever host they enter at, so that their
+// canaries meet at one owner.
+func (s *Session) sendCanary() (position int, reasons []broker.Reason) {
+	first := int(uint64(s.request.Fingerprint) % uint64(len(s.shards)))
 	for offset := range s.shards {
-		i := (start + offset) % len(s.shards)
+		i := (first + offset) % len(s.shards)
 		sh := &s.shards[i]
-		chosen, reason := s.chooseReplica(sh)
+		if sh.state != shardUnstarted {
+			continue
+		}
+		chosen, reason := s.chooseCanaryReplica(sh)
 		if reason != broker.ReasonNone {
-			cold = cold || reason == broker.ReasonCold
 			sh.reason = reason
+			reasons = append(reasons, reason)
 			continue
 		}
 		sh.state = shardStarted
-		s.canaryShard = i
-		if s.suspect {
-			s.trialShard = i
-		}
 		s.stats.Canaries++
 		s.sendAttempt(i, chosen, false)
+		s.subRequests[len(s.subRequests)-1].Canary = true
 		s.depositBudgets(1)
-		s.schedule(s.latencyQuantile(sh, tracker.CanaryQuantile), i, timerCanaryTimeout)
+		return i, nil
+	}
+	return -1, reasons
+}
+
+func (s *Session) scheduleSecondCanary() {
+	delay := s.latencyQuantile(&s.shards[s.canaryShard], tracker.CanaryQuantile)
+	s.schedule(delay, s.canaryShard, timerSecondCanary)
+}
+
+// sendSecondCanary sends a canary to another shard while the first one is slow, so that one slow server does not delay
+// the whole query. The other shards go on waiting: a server that has crashed is slow too until its owner knows.
+func (s *Session) sendSecondCanary() {
+	if s.suspect {
 		return
 	}
-	if cold {
-		s.schedule(s.deadline/recheckDivisor, 0, timerRetryCanary)
+	if i, _ := s.sendCanary(); i >= 0 {
+		s.secondCanary = i
 		return
 	}
-	for i := range s.shards {
-		s.markMissing(i, s.shards[i].reason)
+	s.schedule(s.deadline/recheckDivisor, s.canaryShard, timerSecondCanary)
+}
+
+// awaitsCanary returns whether the shards without an attempt wait for the answer to a canary.
+func (s *Session) awaitsCanary() bool { return s.canaryShard >= 0 }
+
+// isCanary returns whether shard i has a canary that has neither answered nor failed.
+func (s *Session) isCanary(i int) bool { return i == s.canaryShard || i == s.secondCanary }
+
+// endCanary continues after the shard of a canary became missing: with the other canary, with all shards if the server
+// survived the request, or with a new canary.
+func (s *Session) endCanary(i int, outcome broker.Outcome, reason broker.Reason) {
+	other := s.secondCanary
+	if i == s.secondCanary {
+		other = s.canaryShard
+	}
+	s.canaryShard, s.secondCanary = other, -1
+	switch {
+	case outcome == broker.OutcomeFailed, reason == broker.ReasonMismatch, reason == broker.ReasonBackendError:
+		s.startRemaining()
+	case other >= 0:
+		s.scheduleSecondCanary()
+	default:
+		s.startAttempts()
 	}
 }
 
@@ -90,7 +148,7 @@
 
 // startRemaining sends the first attempts at all shards that waited for the canary.
 func (s *Session) startRemaining() {
-	s.canaryShard = -1
+	s.canaryShard, s.secondCanary = -1, -1
 	if s.suspect {
 		return
 	}
@@ -177,6 +235,7 @@
 		Body:         s.request.Query.Body,
 		TraceParent:  s.request.TraceParent,
 		Revision:     s.view.Table.Revision,
+		Canary:       s.isCanary(i),
 	})
 	send := Send{Owner: to.state.Owner, Sub: &s.subRequests[len(s.subRequests)-1]}
 	if s.mayHedge(sh) {
@@ -217,11 +276,15 @@
 	if s.suspect || s.attemptsExhausted(sh) {
 		return
 	}
+	delay := s.hedgeDelay(sh)
+	if s.awaitsCanary() {
+		s.scheduleHedge(i, delay/hedgeRecheckDivisor)
+		return
+	}
 	chosen, reason := s.chooseReplica(sh)
 	if reason != broker.ReasonNone {
 		return
 	}
-	delay := s.hedgeDelay(sh)
 	if !s.takeHedgeToken(sh, s.now-sh.attempts[sh.firstInFlight()].sent, delay) {
 		s.stats.HedgesDenied++
 		s.scheduleHedge(i, delay/hedgeRecheckDivisor)
--- a/internal/broker/coordination/scatterer/property_test.go
+++ b/internal/broker/coordination/scatterer/property_test.go
@@ -30,11 +30,24 @@
 	sent    []*observedAttempt
 	crashes int
 	finish  *broker.Answer
+
+	canary   bool // the request may crash servers
+	harmless bool // a server has survived it
+}
+
+// inFlight returns the number of attempts in flight.
+func (c *sessionChecker) inFlight() (count int) {
+	for _, attempt := range c.sent {
+		if attempt.inFlight {
+			count++
+		}
+	}
+	return count
 }
 
 // TestSessionProperties checks the guarantees of a session under random orders of events: one snapshot, correct
-// coverage, no second attempt of a non-idempotent request that may run, attempts within budgets, notRun only if nothing
-// ran, and one answer.
+// coverage, no second attempt of a non-idempotent request that may run, at most two servers at a time that a canary may
+// crash, attempts within budgets, notRun only if nothing ran, and one answer.
 func TestSessionProperties(t *testing.T) {
 	if checks := flag.Lookup("rapid.checks").Value; checks.String() == "100" {
 		_ = checks.Set("5000") // the default covers too few reruns and superseded attempts
@@ -58,6 +71,7 @@
 		if request.Suspect {
 			c.crashes = 1
 		}
+		c.canary = kind.Canary == configurator.CanaryAlways && shards > 1
 		c.session = c.fixture.session(rapid.Uint64().Draw(t, "seed"), request, epoch)
 		budgets := c.fixture.budgets.Kind("search")
 		tokens := budgets.Hedges.Tokens() + budgets.Retries.Tokens()
@@ -130,6 +144,7 @@
 	if attempt.inFlight && answer.RequestID == "r1" {
 		attempt.inFlight = false
 		attempt.mayRun = answer.Outcome != broker.OutcomeNotRun
+		c.harmless = c.harmless || answer.Outcome == broker.OutcomeAnswered || answer.Outcome == broker.OutcomeFailed
 		if answer.Reason == broker.ReasonCrashed {
 			c.crashes++
 		}
@@ -146,6 +161,10 @@
 		if c.crashes > 1 {
 			c.Fatalf("got attempt %d at %s after two crashes", send.Sub.Attempt, send.Sub.Shard)
 		}
+		if got := c.inFlight(); c.canary && !c.harmless && got > 1 {
+			c.Fatalf("got attempt %d at %s beside %d others before any answer, want at most one other",
+				send.Sub.Attempt, send.Sub.Shard, got)
+		}
 		for _, earlier := range c.sent {
 			if !send.Sub.Idempotent && (earlier.inFlight || earlier.mayRun) {
 				c.Fatalf("got a second attempt of a non-idempotent request while the first one may run")
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -35,6 +35,7 @@
 	Fingerprint broker.Fingerprint
 	Seen        bool // a request with this fingerprint has been answered before
 	Suspect     bool // a server crashed while running this fingerprint, and it has not been cleared since
+	Quarantined bool // no server may run this fingerprint
 	TraceParent string
 	Deadline    time.Time
 }
@@ -69,6 +70,7 @@
 	attemptsNotRun int  // attempts that certainly did not run
 	snapshotMisses int  // missing shards with an attempt refused as snapshotMissing
 	canaryShard    int  // position of the shard whose canary the others wait for, or -1
+	secondCanary   int  // position of the shard with a canary sent because the first one is slow, or -1
 	anyAnswered    bool // a shard has answered, so that no canary is needed
 	suspect        bool // a server crashed while running the request
 	crashes        int
@@ -96,18 +98,19 @@
 		return nil, planError(KindNoShards, kind.Service)
 	}
 	s := &Session{
-		view:        deps.View,
-		service:     service,
-		kind:        kind,
-		budgets:     deps.Budgets,
-		random:      deps.Random,
-		strategy:    deps.Strategy,
-		request:     request,
-		started:     now,
-		deadline:    request.Deadline.Sub(now),
-		canaryShard: -1,
-		trialShard:  -1,
-		merged:      merger{limit: request.Query.Limit},
+		view:         deps.View,
+		service:      service,
+		kind:         kind,
+		budgets:      deps.Budgets,
+		random:       deps.Random,
+		strategy:     deps.Strategy,
+		request:      request,
+		started:      now,
+		deadline:     request.Deadline.Sub(now),
+		canaryShard:  -1,
+		secondCanary: -1,
+		trialShard:   -1,
+		merged:       merger{limit: request.Query.Limit},
 	}
 	if request.Suspect {
 		s.suspect, s.crashes = true, 1
@@ -158,6 +161,10 @@
 	if !s.beginEvent(now) {
 		return s.actions
 	}
+	if s.request.Quarantined {
+		s.stopUnanswered(broker.ReasonQuarantined)
+		return s.endEvent()
+	}
 	s.snapshot = s.bestSnapshot(0).Snapshot
 	if s.strategy.Target > 0 {
 		s.schedule(s.strategy.Target, 0, timerLatencyTarget)
@@ -267,7 +274,7 @@
 	case timerRetryCanary, timerLatencyTarget:
 		return true
 	default:
-		return s.canaryShard >= 0
+		return s.canaryShard == int(due.shard) && s.secondCanary < 0
 	}
 }
 
@@ -286,6 +293,6 @@
 	case timerLatencyTarget:
 		s.targetReached()
 	default:
-		s.startRemaining()
+		s.sendSecondCanary()
 	}
 }
--- a/internal/broker/coordination/scatterer/timers.go
+++ b/internal/broker/coordination/scatterer/timers.go
@@ -9,7 +9,7 @@
 	timerSupersede                      // the hedge has been in flight for the hedge delay too
 	timerRetryStart                     // try to start a shard whose replicas were at their limit
 	timerRetryCanary                    // try again to send the canary, which found no replica with free capacity
-	timerCanaryTimeout                  // the canary took too long; start the remaining shards
+	timerSecondCanary                   // the canary takes long; send a second one
 	timerRetryOwner                     // retry a shard whose servers change owners
 	timerLatencyTarget                  // the latency target has passed
 )
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -83,6 +83,7 @@
 	Body         []byte        `cbor:"14,keyasint,omitempty"`
 	TraceParent  string        `cbor:"15,keyasint,omitempty"`
 	Revision     Revision      `cbor:"16,keyasint"`
+	Canary       bool          `cbor:"17,keyasint,omitempty"` // the request may crash servers: its canaries run one by one
 }
 
 // SubAnswer is the result of one attempt. The fields that identify the sub-request have the values that the backend
--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// TestCrashingFirstSends guards against a request that crashes more than two servers because several nodes get it for the
+// first time at the same moment, when none of them can know of the others' canaries.
+func TestCrashingFirstSends(t *testing.T) {
+	f := startFixture(t, func(s *testbed.Settings) { s.Canary = configurator.CanaryUnseen })
+	f.warmUp()
+	var senders sync.WaitGroup
+	for _, entry := range f.Entries() {
+		client, err := caller.New([]netip.AddrPort{entry}, caller.Options{Attempts: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			senders.Go(func() {
+				query := testbed.Search(0)
+				query.Body = json.RawMessage(`{"text":"` + testbed.CrashMarker + `"}`)
+				if answer, err := client.Query(t.Context(), query); err == nil && answer.Status == caller.StatusComplete {
+					t.Errorf("crashing request: got %s, want it not to complete", answer.Status)
+				}
+			})
+		}
+	}
+	senders.Wait()
+	if got := f.Crashes(); got < 1 || got > 2 {
+		t.Errorf("servers crashed by the request: got %d, want 1 or 2", got)
+	}
+}
+
 // wantWarm fails the test unless all servers are warm with unchanged owner and boot ID according to every daemon.
 func (f *fixture) wantWarm(before map[broker.ServerName]broker.ServerState) {
 	f.Helper()
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -50,6 +50,7 @@
 		query.RequestID = requestID + "." + s.name + "." + strconv.FormatUint(s.sequence.Add(1), 36)
 	}
 	fingerprint := fingerprintOf(&query)
+	quarantine := s.quarantine.State(fingerprint, time.Now())
 	core, err := scatterer.New(
 		scatterer.Dependencies{
 			View:    view,
@@ -58,7 +59,7 @@
 		},
 		scatterer.Request{
 			Query: query, Fingerprint: fingerprint, Seen: s.seenFingerprints.Has(fingerprint),
-			Suspect:     s.quarantine.State(fingerprint, time.Now()) != quarantiner.Clear,
+			Suspect: quarantine != quarantiner.Clear, Quarantined: quarantine == quarantiner.Quarantined,
 			TraceParent: tracer.TraceParent(ctx), Deadline: deadline,
 		},
 		time.Now(),
