Run one resolver in each zone in place of a directory on every host

Change: a second role, one process in each zone, serves the directory. It is `host` without an entry address: it follows the store and probes hosts as before, registers nothing, opens no connections to servers and stops at once. The three directories that a caller asks are then in three zones.

Ruled out: longer lifetimes (one look-up in 5 s at most, each of 3 s, is still most of the time); two resolvers a zone (2 s until the first living one, longer than the deadlines of two of three kinds); deciding at run time who answers (callers ask dead machines whoever would have answered there).

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -151,6 +151,9 @@
 
 // Ready returns nil if this host takes requests, and the reason as an error of kind KindNotReady otherwise.
 func (f *Forwarder) Ready() error {
+	if f.settings.resolvesOnly() {
+		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("the host is a resolver")}
+	}
 	if state := f.drainer.State(); state != drainer.StateServing {
 		return &Error{Op: "take requests", Kind: KindNotReady, Err: errors.New("the host is " + state)}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -141,6 +141,9 @@
 	options.Dial = deps.Dial
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zone, deps.Settings.Zones)
+	if f.settings.resolvesOnly() {
+		f.registrar.SetRole(registrar.RoleStandby)
+	}
 	f.budgets = budgeter.NewShards(budgeter.HostShare(deps.Settings.RetryShare), retryBurst(deps.Settings, 0))
 	f.delegates, f.messenger = delegator.New(deps.Settings.Zone), messenger.NewClient(f.set)
 	f.relays = relayer.NewRelays()
@@ -157,13 +160,12 @@
 
 // Run serves until ctx ends and then stops gracefully; the end of force stops immediately.
 func (f *Forwarder) Run(ctx, force context.Context) error {
-	entry, err := listen(f.settings.Entry)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
-		Handler: http.HandlerFunc(f.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
+	var callers *callerServer // nil at a resolver
+	if !f.settings.resolvesOnly() {
+		var err error
+		if callers, err = f.newCallerServer(); err != nil {
+			return err
+		}
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -172,13 +174,9 @@
 	if err != nil {
 		return err
 	}
-	f.tasks.Go(func() {
-		err := server.Serve(entry)
-		// A planned stop closes the listener first, to keep the open connections.
-		if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			f.logger.Error("could not serve callers", "error", err)
-		}
-	})
+	if callers != nil {
+		f.tasks.Go(func() { f.serveCallers(callers) })
+	}
 	if err := f.drainer.Serve(); err != nil {
 		closeAuxiliary()
 		return errors.WithStack(err)
@@ -188,7 +186,9 @@
 	case <-ctx.Done():
 	case <-force.Done():
 	}
-	err = f.stop(force, server, entry)
+	if callers != nil {
+		err = f.stop(force, callers)
+	}
 	stopWork()
 	closeAuxiliary()
 	f.tasks.Wait()
@@ -196,24 +196,50 @@
 	return err
 }
 
+// callerServer serves callers at the entry address.
+type callerServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (f *Forwarder) newCallerServer() (*callerServer, error) {
+	listener, err := listen(f.settings.Entry)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler: http.HandlerFunc(f.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
+	}
+	return &callerServer{Server: server, listener: listener}, nil
+}
+
+func (f *Forwarder) serveCallers(callers *callerServer) {
+	err := callers.Serve(callers.listener)
+	// A planned stop closes the listener first, to keep the open connections.
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		f.logger.Error("could not serve callers", "error", err)
+	}
+}
+
 // stop removes this host from resolve answers, serves callers that still use its address, and finishes the requests in
 // progress.
-func (f *Forwarder) stop(force context.Context, server *http.Server, entry net.Listener) error {
+func (f *Forwarder) stop(force context.Context, callers *callerServer) error {
 	if err := f.drainer.Leave(); err != nil {
 		return errors.WithStack(err)
 	}
 	ctx, cancel := context.WithTimeout(force, f.reloadable.Load().StopDeadline)
 	defer cancel()
 	f.awaitQuiet(ctx)
-	_ = entry.Close()
+	_ = callers.listener.Close()
 	f.drainer.Refuse()
 	err := f.drainer.Wait(ctx)
 	// Shutdown closes idle connections, which earlier would have cut off requests in transit on them. Refusals do not
 	// count as in progress and may still be in transit.
 	closing, cancelClosing := context.WithTimeout(force, refusalFlushTime)
 	defer cancelClosing()
-	_ = server.Shutdown(closing)
-	_ = server.Close()
+	_ = callers.Shutdown(closing)
+	_ = callers.Close()
 	if err != nil {
 		return &Error{Op: "stop without cutting off requests", Kind: KindDeadline, Err: err}
 	}
@@ -302,9 +328,11 @@
 		f.updateHosts, slow, f.set, f.logger)
 	f.contact.Store(&storeContact{catalogs.Contact})
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
-	for _, run := range []func(context.Context){
-		catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.probeHosts, f.expireServers, f.maintainServerList,
-		f.maintainHostRecord, f.removeGoneHosts, f.forwardCrashReports} {
+	tasks := []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.probeHosts, f.expireServers}
+	if !f.settings.resolvesOnly() {
+		tasks = append(tasks, f.maintainServerList, f.maintainHostRecord, f.removeGoneHosts, f.forwardCrashReports)
+	}
+	for _, run := range tasks {
 		f.tasks.Go(func() { run(ctx) })
 	}
 }
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Settings are the settings of one host.
+// Settings are the settings of one host. A host without Entry is a resolver: it takes no requests and only tells callers
+// which hosts to use.
 type Settings struct {
 	Node  string
 	Zone  string
@@ -32,3 +33,6 @@
 	RetryShare float64
 	RetrySlack int
 }
+
+// resolvesOnly returns whether the host is a resolver.
+func (s *Settings) resolvesOnly() bool { return !s.Entry.IsValid() }
