Count a silent delegation as one failure of its host

Change: each delegation marks its host once.

The total was raised before it was compared with the limit, so that several bodies at the limit counted above it for a moment, without that much in memory. No check was changed.

--- a/internal/broker/transport/dispatcher/buffer.go
+++ b/internal/broker/transport/dispatcher/buffer.go
@@ -16,8 +16,7 @@
 // Read reads from the body if the total permits as much as fits into data.
 func (r *bufferedReader) Read(data []byte) (int, error) {
 	reserved := int64(len(data))
-	if r.total.Add(reserved) > r.limit {
-		r.total.Add(-reserved)
+	if !r.reserve(reserved) {
 		return 0, errTooLarge
 	}
 	n, err := r.from.Read(data)
@@ -26,6 +25,19 @@
 	return n, err
 }
 
+// reserve adds to the total unless the limit would be exceeded.
+func (r *bufferedReader) reserve(added int64) bool {
+	for {
+		total := r.total.Load()
+		if total+added > r.limit {
+			return false
+		}
+		if r.total.CompareAndSwap(total, total+added) {
+			return true
+		}
+	}
+}
+
 // Close closes the body.
 func (r *bufferedReader) Close() error { return r.from.Close() }
 
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -32,6 +32,7 @@
 	missing  atomic.Int64 // attempts without a result
 	wanted   atomic.Int64 // attempts without a result that have not been cancelled
 	answered bool         // whether any results have arrived; used by the goroutine that sends the delegation only
+	failed   atomic.Bool  // whether the host was avoided because of it
 }
 
 // delegatedAttempt is one attempt of a delegation.
@@ -87,7 +88,7 @@
 	message.CollectFor = delegator.CollectTime(hedgeAfter, d.overhead, defaultCollectTime)
 	d.silence = time.AfterFunc(message.CollectFor+d.overhead+silenceMargin, func() {
 		if d.mostlyMissing() {
-			s.forwarder.delegates.Failed(d.host, time.Now())
+			d.fail()
 		}
 	})
 	go func() {
@@ -140,7 +141,7 @@
 	}
 	cancelled := ctx.Err() != nil
 	if !cancelled || d.mostlyMissing() {
-		f.delegates.Failed(d.host, time.Now())
+		d.fail()
 		d.logFailure(sent, err)
 	}
 	var results []attemptResult
@@ -168,6 +169,13 @@
 	}
 }
 
+// fail avoids the host, which counts once for each delegation: a silent one is noticed early and ends later.
+func (d *delegation) fail() {
+	if d.failed.CompareAndSwap(false, true) {
+		d.session.forwarder.delegates.Failed(d.host, time.Now())
+	}
+}
+
 // attemptDirectly makes one attempt of the delegation by an exchange of this host.
 func (d *delegation) attemptDirectly(a *delegatedAttempt) {
 	ctx, cancel := context.WithDeadline(a.ctx, d.session.deadline)
