Tell late copies from answers in the backend protocol of serve

Cause: a server may send a second copy of an answer, late, on a connection that is in use again. Search answers name their request, but refusals did not: a copy of a refusal was read as "has not run" for the next request, which had run, and was then run again or reported as not run. A status probe read a search answer as a status without shards. After a copy, the connection stayed in use, each answer one request late.

Change: refusals name the request and attempt; one that names another is no answer, and the connection is closed. A refusal that names none still counts, but for a request that may run once only, on a connection that was used before, the outcome is unknown: the server need not be one that names them. A status that names a request is an error.

Ruled out: a new connection for each probe or refusal (handshakes), waiting for late bytes (any time is too short).

The expected bodies of the stand-in's refusals gained the two fields.

--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/holder"
@@ -128,11 +129,16 @@
 		method: http.MethodPost, path: PathSearch, payload: payload, trace: req.Sub.TraceParent,
 		permit: req.Permit,
 	}
+	// After an answer to another request, that to this one may still arrive.
+	e.mayReuse = func(r *reply) bool { return !namesAnother(&req.Sub, r) }
 	reply, err := d.exchangeOnce(ctx, p, &e, req.Fresh)
 	if err != nil {
 		return failedResult(ctx, &req.Sub, &e, err)
 	}
 	result := interpret(&req.Sub, reply)
+	if result.Answer.Outcome == broker.OutcomeNotRun && !req.Sub.Idempotent && !e.first && !namesRequest(&req.Sub, reply) {
+		result.Answer.Outcome = broker.OutcomeUnknown
+	}
 	result.Reused = e.reused
 	result.BytesSent = true
 	return result
@@ -165,7 +171,7 @@
 	if p == nil {
 		return status, &Error{Op: "read status", Kind: KindUnreachable}
 	}
-	e := exchange{method: http.MethodGet, path: PathStatus}
+	e := exchange{method: http.MethodGet, path: PathStatus, mayReuse: func(r *reply) bool { return identityOf(r).RequestID == "" }}
 	reply, err := d.exchangeOnce(ctx, p, &e, false)
 	if kind := kindOf(err); err != nil && e.reused && (kind == KindSilent || kind == KindLost) {
 		reply, err = d.exchangeOnce(ctx, p, &e, true)
@@ -179,6 +185,9 @@
 	if reply.status != http.StatusOK {
 		return status, &Error{Op: "read status", Kind: KindStatus}
 	}
+	if request := identityOf(reply).RequestID; request != "" {
+		return status, &Error{Op: "read status", Kind: KindMalformed, Err: errors.Errorf("answer to request %q", request)}
+	}
 	if err := json.Unmarshal(reply.body, &status); err != nil {
 		return status, &Error{Op: "read status", Kind: KindMalformed, Err: err}
 	}
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -116,8 +116,8 @@
 	answer = &reply{status: response.StatusCode, header: response.Header, body: body}
 	if e.head != nil {
 		c.idleTimeout = idleTimeout(response)
-		keep = keep && (e.mayReuse == nil || e.mayReuse(answer))
 	}
+	keep = keep && (e.mayReuse == nil || e.mayReuse(answer))
 	return answer, keep, nil
 }
 
--- a/internal/broker/transport/dispatcher/outcome.go
+++ b/internal/broker/transport/dispatcher/outcome.go
@@ -61,8 +61,34 @@
 	}
 }
 
+// identity is what an answer says of the request that it belongs to.
+type identity struct {
+	RequestID string `json:"requestId"`
+	Attempt   uint32 `json:"attempt"`
+}
+
+// identityOf returns the identity in an answer, which is empty if the answer names no request.
+func identityOf(r *reply) identity {
+	var found identity
+	_ = json.Unmarshal(r.body, &found) // an answer in another format names no request
+	return found
+}
+
+// namesRequest returns whether an answer says that it belongs to the sub-request.
+func namesRequest(sub *broker.SubRequest, r *reply) bool {
+	return identityOf(r) == identity{RequestID: sub.RequestID, Attempt: sub.Attempt}
+}
+
+// namesAnother returns whether an answer says that it belongs to another request, or to an earlier attempt.
+func namesAnother(sub *broker.SubRequest, r *reply) bool {
+	return identityOf(r).RequestID != "" && !namesRequest(sub, r)
+}
+
 // interpret maps a complete HTTP answer to an outcome.
 func interpret(sub *broker.SubRequest, r *reply) broker.BackendResult {
+	if namesAnother(sub, r) {
+		return broker.BackendResult{Answer: answerFor(sub, broker.OutcomeUnknown, broker.ReasonMismatch)}
+	}
 	switch r.status {
 	case http.StatusOK:
 		return interpretAnswer(sub, r.body)
--- a/internal/broker/transport/dispatcher/protocol.go
+++ b/internal/broker/transport/dispatcher/protocol.go
@@ -38,8 +38,11 @@
 	Draining     bool             `json:"draining"`
 }
 
-// Refusal is the body of an answer with status 503 or 409.
+// Refusal is the body of an answer with status 503 or 409. A server that does not name the request and attempt cannot
+// refuse a request that may run once only, except on a new connection: the refusal could be a late copy of another one.
 type Refusal struct {
+	RequestID  string        `json:"requestId,omitempty"`
+	Attempt    uint32        `json:"attempt,omitempty"`
 	NotStarted bool          `json:"notStarted"`
 	Reason     broker.Reason `json:"reason"`
 	BootID     string        `json:"bootId,omitempty"`
--- a/internal/standin/backendserver/backendserver_test.go
+++ b/internal/standin/backendserver/backendserver_test.go
@@ -61,7 +61,7 @@
 func TestAnswersAndRefusals(t *testing.T) {
 	server, client := startServer(t, Faults{Slots: 2}), newClient(t)
 	refused := func(reason string, draining bool) string {
-		return fmt.Sprintf(`{"notStarted":true,"reason":%q,"bootId":"boot","draining":%v}`, reason, draining)
+		return fmt.Sprintf(`{"requestId":"r","attempt":1,"notStarted":true,"reason":%q,"bootId":"boot","draining":%v}`, reason, draining)
 	}
 	hits, _ := json.Marshal(Hits(7, "0", []byte(`{"a":"\u003cx\u003e","b":1}`), 2))
 	answered := `{"requestId":"r","shard":"0","snapshot":7,"partitioning":3,"attempt":1,"hits":` + string(hits) +
@@ -81,7 +81,7 @@
 		{func() { server.SetDraining(true, true) }, validFields, "1s", 503, refused("draining", true)},
 		{func() { server.SetDraining(false, false); server.SetShed(true) }, validFields, "1s", 503, refused("shed", false)},
 		{func() { server.SetShed(false); server.SetServiceTime(time.Hour) }, validFields, "1ms", 504,
-			`{"notStarted":false,"reason":"deadline","bootId":"boot","draining":false}`},
+			`{"requestId":"r","attempt":1,"notStarted":false,"reason":"deadline","bootId":"boot","draining":false}`},
 	}
 	for i, test := range tests {
 		if test.change != nil {
--- a/internal/standin/backendserver/handler.go
+++ b/internal/standin/backendserver/handler.go
@@ -46,6 +46,8 @@
 
 // refusal is the body of every other answer. NotStarted is set only if the request certainly did not run.
 type refusal struct {
+	RequestID  string `json:"requestId,omitempty"`
+	Attempt    uint32 `json:"attempt,omitempty"`
 	NotStarted bool   `json:"notStarted"`
 	Reason     string `json:"reason"`
 	BootID     string `json:"bootId"`
@@ -133,6 +135,7 @@
 		refused = s.run(ctx, w, req, boot, pending)
 	}
 	if refused != nil {
+		refused.RequestID, refused.Attempt = req.RequestID, req.Attempt
 		s.recordRefusal(refused.Reason)
 		writeJSON(w, refused.status, refused)
 	}
@@ -241,7 +244,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.recordRefusal(string(broker.ReasonDeadline))
-		writeJSON(w, http.StatusGatewayTimeout, refusal{Reason: string(broker.ReasonDeadline), BootID: boot.id})
+		writeJSON(w, http.StatusGatewayTimeout, refusal{
+			RequestID: req.RequestID, Attempt: req.Attempt, Reason: string(broker.ReasonDeadline), BootID: boot.id,
+		})
 		return nil
 	}
 	draining := s.finishExecution(boot, true)
