Refuse redirections by processes that have the address of a host

The client of the platform's store stays as it was: the pages do not say that the store does not redirect.

--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
@@ -94,6 +95,13 @@
 	}{
 		{name: "lost the store", fail: func(r *relay) { r.fresh.Store(false) }},
 		{name: "gone", fail: func(r *relay) { r.server.Close() }},
+		{name: "redirects", fail: func(r *relay) {
+			elsewhere := httptest.NewServer(r.feed)
+			t.Cleanup(elsewhere.Close)
+			r.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				http.Redirect(w, request, elsewhere.URL+request.URL.RequestURI(), http.StatusTemporaryRedirect)
+			})
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -48,10 +48,15 @@
 
 // NewRelays returns relays without candidates.
 func NewRelays() *Relays {
-	return &Relays{retryAt: map[netip.AddrPort]time.Time{}, client: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}}
+	}
+	// No host redirects, but another process may have its address by now.
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Relays{
+		retryAt: map[netip.AddrPort]time.Time{}, client: &http.Client{Transport: transport, CheckRedirect: refuse},
+	}
 }
 
 // Set sets the hosts that may be used as relays, in order of preference.
--- a/internal/broker/transport/messenger/client.go
+++ b/internal/broker/transport/messenger/client.go
@@ -39,14 +39,20 @@
 
 var _ broker.DelegationSender = (*Client)(nil)
 
+// refuseRedirect makes a redirection the answer: no host sends one, but another process may have its address by now.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // NewClient returns a client with its metrics in set.
 func NewClient(set *metrics.Set) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+				DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+			},
+			CheckRedirect: refuseRedirect,
+		},
 		sent:            set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="sent"}`),
 		received:        set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="received"}`),
 		hostsNotReached: set.GetOrCreateCounter("yuccarock_delegations_failed_total"),
--- a/internal/broker/transport/messenger/messenger_test.go
+++ b/internal/broker/transport/messenger/messenger_test.go
@@ -105,16 +105,22 @@
 }
 
 // TestNotRun guards against sub-requests that are lost, or run twice, because a host refuses a delegation, does not know
-// such messages or does not run.
+// such messages, does not run, or has lost its address to a process that sends the delegation on to others.
 func TestNotRun(t *testing.T) {
 	closed := httptest.NewServer(http.NotFoundHandler())
 	closedAddress := netip.MustParseAddrPort(closed.Listener.Addr().String())
 	closed.Close()
+	elsewhere := startHost(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		t.Error("another host: got the delegation by a redirection")
+	}))
 	tests := []struct {
 		name    string
 		address netip.AddrPort
 		want    ErrorKind
 	}{
+		{name: "redirects", want: KindRefused, address: startHost(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "http://"+elsewhere.String()+r.URL.Path, http.StatusTemporaryRedirect)
+		}))},
 		{name: "earlier version", address: startHost(t, http.NotFoundHandler()), want: KindRefused},
 		{name: "leaving", want: KindRefused,
 			address: runnerHost(t, func(context.Context, *broker.Delegation, func(*broker.PartResults, bool)) error {
