Decode each answer of a backend server once, and take no mismatch for survival

An answer that names another request says nothing of the server's survival of this one, so that only a failure that the server reports ends the canaries without an answer. The position of a canary is set before it is sent, in place of a mark on the message afterwards.

--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -192,7 +192,7 @@
 	case s.suspect && (s.trialShard < 0 || s.trialShard == i):
 		s.markUnstartedMissing(broker.ReasonCrashed)
 	case s.isCanary(i):
-		s.endCanary(i, outcome, s.shards[i].reason)
+		s.endCanary(i, outcome)
 	}
 }
 
--- a/internal/broker/coordination/scatterer/choice.go
+++ b/internal/broker/coordination/scatterer/choice.go
@@ -92,8 +92,9 @@
 	replicas := sh.tracked.Replicas
 	reason := broker.ReasonNoReplica
 	var chosen candidate
+	rest := uint64(s.request.Fingerprint) / uint64(len(s.shards)) // independent of the choice of the shard
 	for offset := range replicas {
-		first := int(uint64(s.request.Fingerprint) / uint64(len(s.shards)) % uint64(len(replicas)))
+		first := int(rest % uint64(len(replicas)))
 		replica := replicas[(first+offset)%len(replicas)]
 		var found candidate
 		if found, reason = s.evaluateReplica(sh, replica, reason); found.server == nil {
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -33,11 +33,10 @@
 		s.startRemaining()
 		return
 	}
-	i, reasons := s.sendCanary()
-	if i >= 0 {
-		s.canaryShard = i
+	reasons := s.sendCanary(&s.canaryShard)
+	if s.awaitsCanary() {
 		if s.suspect {
-			s.trialShard = i
+			s.trialShard = s.canaryShard
 		}
 		s.scheduleSecondCanary()
 		return
@@ -53,10 +52,10 @@
 	}
 }
 
-// sendCanary sends the first attempt at one unstarted shard and returns its position, or -1 and the reasons why no shard
+// sendCanary sends the first attempt at one unstarted shard and sets its position, or returns the reasons why no shard
 // has a replica for it. Equal requests go to the shards in the same order, whichever host they enter at, so that their
 // canaries meet at one owner.
-func (s *Session) sendCanary() (position int, reasons []broker.Reason) {
+func (s *Session) sendCanary(position *int) (reasons []broker.Reason) {
 	first := int(uint64(s.request.Fingerprint) % uint64(len(s.shards)))
 	for offset := range s.shards {
 		i := (first + offset) % len(s.shards)
@@ -70,14 +69,14 @@
 			reasons = append(reasons, reason)
 			continue
 		}
+		*position = i
 		sh.state = shardStarted
 		s.stats.Canaries++
 		s.sendAttempt(i, chosen, false)
-		s.subRequests[len(s.subRequests)-1].Canary = true
 		s.depositBudgets(1)
-		return i, nil
+		return nil
 	}
-	return -1, reasons
+	return reasons
 }
 
 func (s *Session) scheduleSecondCanary() {
@@ -91,11 +90,10 @@
 	if s.suspect {
 		return
 	}
-	if i, _ := s.sendCanary(); i >= 0 {
-		s.secondCanary = i
-		return
+	s.sendCanary(&s.secondCanary)
+	if s.secondCanary < 0 {
+		s.schedule(s.deadline/recheckDivisor, s.canaryShard, timerSecondCanary)
 	}
-	s.schedule(s.deadline/recheckDivisor, s.canaryShard, timerSecondCanary)
 }
 
 // awaitsCanary returns whether the shards without an attempt wait for the answer to a canary.
@@ -104,16 +102,16 @@
 // isCanary returns whether shard i has a canary that has neither answered nor failed.
 func (s *Session) isCanary(i int) bool { return i == s.canaryShard || i == s.secondCanary }
 
-// endCanary continues after the shard of a canary became missing: with the other canary, with all shards if the server
-// survived the request, or with a new canary.
-func (s *Session) endCanary(i int, outcome broker.Outcome, reason broker.Reason) {
+// endCanary continues after the shard of a canary became missing: with all shards if the server is known to have survived
+// the request, otherwise with the other canary or a new one.
+func (s *Session) endCanary(i int, outcome broker.Outcome) {
 	other := s.secondCanary
 	if i == s.secondCanary {
 		other = s.canaryShard
 	}
 	s.canaryShard, s.secondCanary = other, -1
 	switch {
-	case outcome == broker.OutcomeFailed, reason == broker.ReasonMismatch, reason == broker.ReasonBackendError:
+	case outcome == broker.OutcomeFailed:
 		s.startRemaining()
 	case other >= 0:
 		s.scheduleSecondCanary()
--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -129,15 +129,14 @@
 		method: http.MethodPost, path: PathSearch, payload: payload, trace: req.Sub.TraceParent,
 		permit: req.Permit,
 	}
-	// After an answer to another request, that to this one may still arrive.
-	e.mayReuse = func(r *reply) bool { return !namesAnother(&req.Sub, r) }
-	reply, err := d.exchangeOnce(ctx, p, &e, req.Fresh)
-	if err != nil {
-		return failedResult(ctx, &req.Sub, &e, err)
+	var result broker.BackendResult
+	e.mayReuse = func(r *reply) bool {
+		result = interpret(&req.Sub, r)
+		// After an answer to another request, that to this one may still arrive.
+		return result.Answer.Reason != broker.ReasonMismatch
 	}
-	result := interpret(&req.Sub, reply)
-	if result.Answer.Outcome == broker.OutcomeNotRun && !req.Sub.Idempotent && !e.first && !namesRequest(&req.Sub, reply) {
-		result.Answer.Outcome = broker.OutcomeUnknown
+	if _, err := d.exchangeOnce(ctx, p, &e, req.Fresh); err != nil {
+		return failedResult(ctx, &req.Sub, &e, err)
 	}
 	result.Reused = e.reused
 	result.BytesSent = true
@@ -171,7 +170,7 @@
 	if p == nil {
 		return status, &Error{Op: "read status", Kind: KindUnreachable}
 	}
-	e := exchange{method: http.MethodGet, path: PathStatus, mayReuse: func(r *reply) bool { return identityOf(r).RequestID == "" }}
+	e := exchange{method: http.MethodGet, path: PathStatus, mayReuse: func(r *reply) bool { return requestOf(r) == "" }}
 	reply, err := d.exchangeOnce(ctx, p, &e, false)
 	if kind := kindOf(err); err != nil && e.reused && (kind == KindSilent || kind == KindLost) {
 		reply, err = d.exchangeOnce(ctx, p, &e, true)
@@ -185,7 +184,7 @@
 	if reply.status != http.StatusOK {
 		return status, &Error{Op: "read status", Kind: KindStatus}
 	}
-	if request := identityOf(reply).RequestID; request != "" {
+	if request := requestOf(reply); request != "" {
 		return status, &Error{Op: "read status", Kind: KindMalformed, Err: errors.Errorf("answer to request %q", request)}
 	}
 	if err := json.Unmarshal(reply.body, &status); err != nil {
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -29,7 +29,7 @@
 	payload  []byte
 	trace    string            // trace context, or empty
 	permit   func() bool       // called before the first byte; nil allows every request
-	mayReuse func(*reply) bool // whether the connection may be reused after an answer; nil allows it
+	mayReuse func(*reply) bool // called with each answer: whether the connection may be reused; nil allows it
 
 	sent   bool // a byte of the request may have left this host
 	reused bool // the last connection had carried another request or was opened as an idle one
@@ -40,9 +40,10 @@
 
 // reply is a complete HTTP answer.
 type reply struct {
-	status int
-	header http.Header
-	body   []byte
+	status        int
+	header        http.Header
+	body          []byte
+	followsOthers bool // the connection had carried other requests
 }
 
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
@@ -113,11 +114,11 @@
 	default:
 		keep = false // the server answered before the whole request was written
 	}
-	answer = &reply{status: response.StatusCode, header: response.Header, body: body}
+	answer = &reply{status: response.StatusCode, header: response.Header, body: body, followsOthers: !e.first}
 	if e.head != nil {
 		c.idleTimeout = idleTimeout(response)
 	}
-	keep = keep && (e.mayReuse == nil || e.mayReuse(answer))
+	keep = (e.mayReuse == nil || e.mayReuse(answer)) && keep
 	return answer, keep, nil
 }
 
--- a/internal/broker/transport/dispatcher/outcome.go
+++ b/internal/broker/transport/dispatcher/outcome.go
@@ -61,48 +61,40 @@
 	}
 }
 
-// identity is what an answer says of the request that it belongs to.
-type identity struct {
-	RequestID string `json:"requestId"`
-	Attempt   uint32 `json:"attempt"`
-}
-
-// identityOf returns the identity in an answer, which is empty if the answer names no request.
-func identityOf(r *reply) identity {
-	var found identity
-	_ = json.Unmarshal(r.body, &found) // an answer in another format names no request
-	return found
-}
-
-// namesRequest returns whether an answer says that it belongs to the sub-request.
-func namesRequest(sub *broker.SubRequest, r *reply) bool {
-	return identityOf(r) == identity{RequestID: sub.RequestID, Attempt: sub.Attempt}
-}
-
-// namesAnother returns whether an answer says that it belongs to another request, or to an earlier attempt.
-func namesAnother(sub *broker.SubRequest, r *reply) bool {
-	return identityOf(r).RequestID != "" && !namesRequest(sub, r)
+// requestOf returns the ID of the request that an answer names, or an empty one.
+func requestOf(r *reply) string {
+	var answer struct {
+		RequestID string `json:"requestId"`
+	}
+	_ = json.Unmarshal(r.body, &answer) // an answer in another format names no request
+	return answer.RequestID
 }
 
 // interpret maps a complete HTTP answer to an outcome.
 func interpret(sub *broker.SubRequest, r *reply) broker.BackendResult {
-	if namesAnother(sub, r) {
+	if r.status == http.StatusOK {
+		return interpretAnswer(sub, r.body)
+	}
+	failed := broker.BackendResult{Answer: answerFor(sub, broker.OutcomeFailed, broker.ReasonBackendError)}
+	var refusal Refusal
+	if json.Unmarshal(r.body, &refusal) != nil {
+		return failed
+	}
+	named := refusal.RequestID != ""
+	if named && (refusal.RequestID != sub.RequestID || refusal.Attempt != sub.Attempt) {
 		return broker.BackendResult{Answer: answerFor(sub, broker.OutcomeUnknown, broker.ReasonMismatch)}
 	}
-	switch r.status {
-	case http.StatusOK:
-		return interpretAnswer(sub, r.body)
-	case http.StatusServiceUnavailable, http.StatusConflict:
-		var refusal Refusal
-		if json.Unmarshal(r.body, &refusal) != nil || !refusal.NotStarted {
-			break
-		}
-		return broker.BackendResult{
-			Answer: answerFor(sub, broker.OutcomeNotRun, refusalReason(r.status, refusal.Reason)),
-			BootID: refusal.BootID, Draining: refusal.Draining,
-		}
+	if r.status != http.StatusServiceUnavailable && r.status != http.StatusConflict || !refusal.NotStarted {
+		return failed
+	}
+	outcome := broker.OutcomeNotRun
+	if !named && r.followsOthers && !sub.Idempotent {
+		outcome = broker.OutcomeUnknown // it could be a late copy, and the request be running
+	}
+	return broker.BackendResult{
+		Answer: answerFor(sub, outcome, refusalReason(r.status, refusal.Reason)),
+		BootID: refusal.BootID, Draining: refusal.Draining,
 	}
-	return broker.BackendResult{Answer: answerFor(sub, broker.OutcomeFailed, broker.ReasonBackendError)}
 }
 
 func interpretAnswer(sub *broker.SubRequest, body []byte) broker.BackendResult {
