Wait in TestTraces for the span of the last request at each server

Cause: the test waited for three dispatch spans a shard, one for each query, but a hedge is one more dispatch. Its request arrives at the server before its span ends and is exported, so that the server's last trace parent named a span that was not there yet.

Change: wait until the span of each server's last request has ended, with the same time limit.

--- a/internal/server/edge_test.go
+++ b/internal/server/edge_test.go
@@ -83,6 +83,19 @@
 	f.waitFor(waitTimeout, "a span of each dispatch", func() bool {
 		return countSpans(spans, "owner.dispatch") >= 3*shards
 	})
+	// With hedges there are more dispatches, and a span is exported when it ends, after its request has arrived.
+	f.waitFor(waitTimeout, "the span of the last request at each server", func() bool {
+		ended := make(map[string]bool)
+		for _, span := range spans.GetSpans() {
+			ended[span.SpanContext.SpanID().String()] = true
+		}
+		for _, backend := range f.Backends {
+			if parts := strings.Split(backend.Record().LastTraceParent, "-"); len(parts) == 4 && !ended[parts[2]] {
+				return false
+			}
+		}
+		return true
+	})
 	ids := make(map[string]tracetest.SpanStub)
 	for _, span := range spans.GetSpans() {
 		ids[span.SpanContext.SpanID().String()] = span
