Answer look-ups that have begun to arrive at a resolver that stops

Cause: a resolver closed its connections at once, so that a look-up in transit ended without an answer. http.Server.Shutdown does not help: it drops a request whose head arrives after it has begun (tried, "unexpected EOF"). Change: as for callers' requests, the listener is closed first and the open connections 0.5 s later. TestStoppedResolver fails without it.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,8 @@
 	finishReserve = 1500 * time.Millisecond
 	// refusalFlushTime is how long refusals may take to be sent after the last request in progress has ended.
 	refusalFlushTime = 100 * time.Millisecond
+	// lookUpFlushTime is how long a resolver that stops answers look-ups on connections that are open.
+	lookUpFlushTime = 500 * time.Millisecond
 	// quietPeriod is the time without a request after which callers are assumed to have left this host.
 	quietPeriod = 500 * time.Millisecond
 	// expireInterval is the pause between checks for servers whose entries did not reappear in the store.
@@ -273,8 +275,15 @@
 		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
 		{f.settings.Peer, f.servePeers()},
 	}
+	var listeners []net.Listener
 	var servers []*http.Server
 	closeAll = func() {
+		if f.settings.resolvesOnly() {
+			for _, listener := range listeners {
+				_ = listener.Close()
+			}
+			time.Sleep(lookUpFlushTime) // look-ups on open connections are still answered
+		}
 		for _, server := range servers {
 			_ = server.Close()
 		}
@@ -292,9 +301,10 @@
 			Handler: endpoint.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
 		}
-		servers = append(servers, server)
+		listeners, servers = append(listeners, socket), append(servers, server)
 		f.tasks.Go(func() {
-			if err := server.Serve(socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			err := server.Serve(socket)
+			if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				f.logger.Error("HTTP server failed", "address", endpoint.address, "error", err)
 			}
 		})
