Make one piece of code serve where the change had several

- Three clients for other hosts (delegations, relays, probes) set the same idle time and refused redirections each in their own way: internal/requester makes them.
- The entry listener and the auxiliary ones had their own server setup and error filter, and closing a resolver was a special case inside the closing function: one listening server serves both, and a resolver's stop is a step of its own.
A failed entry server now logs "HTTP server failed" with its address, in place of "could not serve callers".
- Hosts that may take requests were gathered twice: usable.
- Counters of bytes between zones were looked up by a formatted name for each exchange: they are made once.
- A second field for "the connection had carried other requests", and a branch of the choice of a canary's replica that a host that sends directly never reaches, are gone.
- The owner started goroutines by hand in five places: WaitGroup.Go.
The stand-in wrote its timeout refusal apart from the others.
Assertions are unchanged.

Left as they are: error types a package (house style), the CBOR modes of messenger and encoder (other limits and no times), endless servers in the tests of two packages.

--- a/internal/broker/coordination/owner/call.go
+++ b/internal/broker/coordination/owner/call.go
@@ -67,11 +67,7 @@
 		return
 	}
 	if o.admitOrRefuse(c) {
-		o.work.Add(1)
-		go func() {
-			defer o.work.Done()
-			c.server.run(c)
-		}()
+		o.work.Go(func() { c.server.run(c) })
 	}
 }
 
--- a/internal/broker/coordination/owner/canary.go
+++ b/internal/broker/coordination/owner/canary.go
@@ -65,10 +65,6 @@
 		return
 	}
 	if o.admitOrRefuse(c) {
-		o.work.Add(1)
-		go func() {
-			defer o.work.Done()
-			c.server.run(c)
-		}()
+		o.work.Go(func() { c.server.run(c) })
 	}
 }
--- a/internal/broker/coordination/owner/server.go
+++ b/internal/broker/coordination/owner/server.go
@@ -112,28 +112,16 @@
 			runOwn = true
 			continue
 		}
-		s.owner.work.Add(1)
-		go func() {
-			defer s.owner.work.Done()
-			s.run(c)
-		}()
+		s.owner.work.Go(func() { s.run(c) })
 	}
 	for _, r := range e.refused {
 		s.owner.answer(r.call, refuse(&r.call.sub, r.reason, e.queued))
 	}
 	if e.checkCrash {
-		s.owner.work.Add(1)
-		go func() {
-			defer s.owner.work.Done()
-			s.checkCrash()
-		}()
+		s.owner.work.Go(s.checkCrash)
 	}
 	if ticket := e.probe; ticket != 0 {
-		s.owner.work.Add(1)
-		go func() {
-			defer s.owner.work.Done()
-			s.probe(ticket)
-		}()
+		s.owner.work.Go(func() { s.probe(ticket) })
 	}
 	return runOwn
 }
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/requester"
 )
 
 const (
@@ -30,7 +31,6 @@
 	fallbackTimeout = 300 * time.Millisecond
 	// maxIdleConnections allows one connection to a host for each collection.
 	maxIdleConnections = 8
-	idleTimeout        = 30 * time.Second
 	// maxReplyBytes is the maximum size of the body of an answer, and maxHeaderBytes that of its header.
 	maxReplyBytes  = 16 << 20
 	maxHeaderBytes = 64 << 10
@@ -48,15 +48,8 @@
 
 // NewRelays returns relays without candidates.
 func NewRelays() *Relays {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	// No host redirects, but another process may have its address by now.
-	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Relays{
-		retryAt: map[netip.AddrPort]time.Time{}, client: &http.Client{Transport: transport, CheckRedirect: refuse},
-	}
+	options := requester.Options{MaxIdleConnections: maxIdleConnections, MaxHeaderBytes: maxHeaderBytes}
+	return &Relays{retryAt: map[netip.AddrPort]time.Time{}, client: requester.New(options)}
 }
 
 // Set sets the hosts that may be used as relays, in order of preference.
--- a/internal/broker/coordination/scatterer/canary.go
+++ b/internal/broker/coordination/scatterer/canary.go
@@ -89,9 +89,6 @@
 // chooseCanaryReplica returns the replica for the first attempt of a canary at a shard, or the reason why there is none.
 // Equal requests prefer the same replica, whichever host they enter at.
 func (s *Session) chooseCanaryReplica(sh *shard) (candidate, broker.Reason) {
-	if s.strategy.Direct {
-		return s.chooseDirect(sh)
-	}
 	replicas := sh.tracked.Replicas
 	reason := broker.ReasonNoReplica
 	var chosen candidate
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -33,7 +33,6 @@
 
 	sent   bool // a byte of the request may have left this host
 	reused bool // the last connection had carried another request or was opened as an idle one
-	first  bool // the last connection had carried no other request
 
 	bytesSent, bytesReceived int // on all connections
 }
@@ -48,11 +47,11 @@
 
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
-	e.reused, e.first = c.reused, !c.used
-	c.used = true
+	e.reused = c.reused
 	c.startRequest(e.permit, maxHeaderBytes)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
+	c.used = true
 	e.sent = e.sent || c.bytesWritten > 0
 	e.bytesReceived += c.bytesRead
 	if e.sent {
@@ -114,7 +113,7 @@
 	default:
 		keep = false // the server answered before the whole request was written
 	}
-	answer = &reply{status: response.StatusCode, header: response.Header, body: body, followsOthers: !e.first}
+	answer = &reply{status: response.StatusCode, header: response.Header, body: body, followsOthers: c.used}
 	if e.head != nil {
 		c.idleTimeout = idleTimeout(response)
 	}
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -49,7 +49,7 @@
 	}
 	return broker.ServerReply{
 		Answer: &broker.OpaqueAnswer{
-			Status: reply.status, Header: reply.header, Body: reply.body, FirstOnConnection: e.first,
+			Status: reply.status, Header: reply.header, Body: reply.body, FirstOnConnection: !reply.followsOthers,
 		}, Sent: true,
 		BytesSent: e.bytesSent, BytesReceived: e.bytesReceived,
 	}
--- a/internal/broker/transport/messenger/client.go
+++ b/internal/broker/transport/messenger/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/requester"
 )
 
 const (
@@ -24,7 +25,6 @@
 	dialTimeout = 50 * time.Millisecond
 	// maxIdleConnections is the number of idle connections kept to each host.
 	maxIdleConnections = 16
-	idleTimeout        = 30 * time.Second
 	// maxResultBytes limits the size of all results of one delegation, and maxHeaderBytes that of the header before them.
 	maxResultBytes = 4 << 20
 	maxHeaderBytes = 64 << 10
@@ -39,20 +39,13 @@
 
 var _ broker.DelegationSender = (*Client)(nil)
 
-// refuseRedirect makes a redirection the answer: no host sends one, but another process may have its address by now.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // NewClient returns a client with its metrics in set.
 func NewClient(set *metrics.Set) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-				DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-			},
-			CheckRedirect: refuseRedirect,
-		},
+		client: requester.New(requester.Options{
+			MaxIdleConnections: maxIdleConnections, MaxHeaderBytes: maxHeaderBytes, Dial: dialer.DialContext,
+		}),
 		sent:            set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="sent"}`),
 		received:        set.GetOrCreateCounter(`yuccarock_cross_zone_bytes_total{cause="delegation",direction="received"}`),
 		hostsNotReached: set.GetOrCreateCounter("yuccarock_delegations_failed_total"),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -162,25 +162,26 @@
 
 // Run serves until ctx ends and then stops gracefully; the end of force stops immediately.
 func (f *Forwarder) Run(ctx, force context.Context) error {
-	var callers *callerServer // nil at a resolver
+	var callers *listeningServer // nil at a resolver
 	if !f.settings.resolvesOnly() {
 		var err error
-		if callers, err = f.newCallerServer(); err != nil {
+		if callers, err = f.newServer(f.settings.Entry, http.HandlerFunc(f.serveCaller)); err != nil {
 			return err
 		}
+		callers.MaxHeaderBytes = maxHeaderBytes
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	f.startTasks(work)
-	closeAuxiliary, err := f.serveAuxiliary()
+	auxiliary, err := f.serveAuxiliary()
 	if err != nil {
 		return err
 	}
 	if callers != nil {
-		f.tasks.Go(func() { f.serveCallers(callers) })
+		f.tasks.Go(func() { f.serve(callers) })
 	}
 	if err := f.drainer.Serve(); err != nil {
-		closeAuxiliary()
+		closeAll(auxiliary)
 		return errors.WithStack(err)
 	}
 	f.logger.Info("serving", "entry", f.settings.Entry, "zone", f.settings.Zone)
@@ -190,43 +191,44 @@
 	}
 	if callers != nil {
 		err = f.stop(force, callers)
+	} else {
+		stopResolving(auxiliary)
 	}
 	stopWork()
-	closeAuxiliary()
+	closeAll(auxiliary)
 	f.tasks.Wait()
 	f.logger.Info("stopped", "error", err)
 	return err
 }
 
-// callerServer serves callers at the entry address.
-type callerServer struct {
+// listeningServer is an HTTP server with its listener, which a planned stop closes first, to keep the open connections.
+type listeningServer struct {
 	*http.Server
 	listener net.Listener
 }
 
-func (f *Forwarder) newCallerServer() (*callerServer, error) {
-	listener, err := listen(f.settings.Entry)
+func (f *Forwarder) newServer(address netip.AddrPort, handler http.Handler) (*listeningServer, error) {
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
 	server := &http.Server{
-		Handler: http.HandlerFunc(f.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
 	}
-	return &callerServer{Server: server, listener: listener}, nil
+	return &listeningServer{Server: server, listener: listener}, nil
 }
 
-func (f *Forwarder) serveCallers(callers *callerServer) {
-	err := callers.Serve(callers.listener)
-	// A planned stop closes the listener first, to keep the open connections.
+func (f *Forwarder) serve(server *listeningServer) {
+	err := server.Serve(server.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		f.logger.Error("could not serve callers", "error", err)
+		f.logger.Error("HTTP server failed", "address", server.listener.Addr(), "error", err)
 	}
 }
 
 // stop removes this host from resolve answers, serves callers that still use its address, and finishes the requests in
 // progress.
-func (f *Forwarder) stop(force context.Context, callers *callerServer) error {
+func (f *Forwarder) stop(force context.Context, callers *listeningServer) error {
 	if err := f.drainer.Leave(); err != nil {
 		return errors.WithStack(err)
 	}
@@ -264,8 +266,22 @@
 	}
 }
 
+// stopResolving ends the acceptance of connections by a resolver. Look-ups on open connections are still answered.
+func stopResolving(servers []*listeningServer) {
+	for _, server := range servers {
+		_ = server.listener.Close()
+	}
+	time.Sleep(lookUpFlushTime)
+}
+
+func closeAll(servers []*listeningServer) {
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
+
 // serveAuxiliary serves readiness, directory, metrics and other hosts, each on its own address.
-func (f *Forwarder) serveAuxiliary() (closeAll func(), err error) {
+func (f *Forwarder) serveAuxiliary() ([]*listeningServer, error) {
 	endpoints := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -275,41 +291,20 @@
 		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
 		{f.settings.Peer, f.servePeers()},
 	}
-	var listeners []net.Listener
-	var servers []*http.Server
-	closeAll = func() {
-		if f.settings.resolvesOnly() {
-			for _, listener := range listeners {
-				_ = listener.Close()
-			}
-			time.Sleep(lookUpFlushTime) // look-ups on open connections are still answered
-		}
-		for _, server := range servers {
-			_ = server.Close()
-		}
-	}
+	var servers []*listeningServer
 	for _, endpoint := range endpoints {
 		if !endpoint.address.IsValid() {
 			continue
 		}
-		socket, err := listen(endpoint.address)
+		server, err := f.newServer(endpoint.address, endpoint.handler)
 		if err != nil {
-			closeAll()
+			closeAll(servers)
 			return nil, err
 		}
-		server := &http.Server{
-			Handler: endpoint.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
-		}
-		listeners, servers = append(listeners, socket), append(servers, server)
-		f.tasks.Go(func() {
-			err := server.Serve(socket)
-			if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				f.logger.Error("HTTP server failed", "address", endpoint.address, "error", err)
-			}
-		})
+		servers = append(servers, server)
+		f.tasks.Go(func() { f.serve(server) })
 	}
-	return closeAll, nil
+	return servers, nil
 }
 
 // startTasks starts the followers of the store and the tasks that depend on them.
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -14,6 +14,17 @@
 	set                                                *metrics.Set
 	sent, hedges, hedgesDenied, retries, retriesDenied *metrics.Counter
 	parts, missing, callersGone, resolve               *metrics.Counter
+	firstAttempts, furtherAttempts                     crossZoneBytes
+}
+
+// crossZoneBytes count the bytes of exchanges with servers in other availability zones.
+type crossZoneBytes struct{ sent, received *metrics.Counter }
+
+func newCrossZoneBytes(set *metrics.Set, cause string) crossZoneBytes {
+	counter := func(direction string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("yuccarock_cross_zone_bytes_total{cause=%q,direction=%q}", cause, direction))
+	}
+	return crossZoneBytes{sent: counter("sent"), received: counter("received")}
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -22,6 +33,7 @@
 		set: set, sent: counter("attempts"), hedges: counter("hedges"), hedgesDenied: counter("hedges_denied"),
 		retries: counter("retries"), retriesDenied: counter("retries_denied"), parts: counter("parts"),
 		missing: counter("parts_missing"), callersGone: counter("callers_gone"), resolve: counter("resolves"),
+		firstAttempts: newCrossZoneBytes(set, "firstAttempt"), furtherAttempts: newCrossZoneBytes(set, "furtherAttempt"),
 	}
 }
 
@@ -36,16 +48,12 @@
 
 // crossZone adds the bytes of one exchange with a server in another availability zone.
 func (m *meters) crossZone(attempt uint32, sent, received int) {
-	cause := "firstAttempt"
+	bytes := &m.firstAttempts
 	if attempt > 1 {
-		cause = "furtherAttempt"
-	}
-	add := func(direction string, bytes int) {
-		m.set.GetOrCreateCounter(fmt.Sprintf(
-			"yuccarock_cross_zone_bytes_total{cause=%q,direction=%q}", cause, direction)).Add(bytes)
+		bytes = &m.furtherAttempts
 	}
-	add("sent", sent)
-	add("received", received)
+	bytes.sent.Add(sent)
+	bytes.received.Add(received)
 }
 
 // requestEnded records the result and duration of one request.
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -44,10 +44,7 @@
 
 // serving returns the hosts that callers are sent to.
 func (f *Forwarder) serving() []broker.HostRecord {
-	hosts, suspect := f.prober.Usable()
-	if f.Ready() == nil {
-		hosts = append(hosts, f.ownRecord())
-	}
+	hosts, suspect := f.usable()
 	wanted, locality := f.load.wantedCapacity(), f.locality()
 	chosen, enough := chooseHosts(hosts, locality, wanted)
 	// A single missed answer can be a glitch, so a suspect host is only left out if others can take its place.
@@ -57,13 +54,19 @@
 	return chosen
 }
 
+// usable returns the hosts that may take requests, this one among them, and those that have missed a single probe.
+func (f *Forwarder) usable() (healthy, suspect []broker.HostRecord) {
+	healthy, suspect = f.prober.Usable()
+	if f.Ready() == nil {
+		healthy = append(healthy, f.ownRecord())
+	}
+	return healthy, suspect
+}
+
 // zoneDelegates returns one host for each zone that has servers of scatters and no serving host. They send requests of
 // the serving hosts to the servers in their zone.
 func (f *Forwarder) zoneDelegates(serving []broker.HostRecord) []broker.HostRecord {
-	hosts, _ := f.prober.Usable()
-	if f.Ready() == nil {
-		hosts = append(hosts, f.ownRecord())
-	}
+	hosts, _ := f.usable()
 	return chooseZoneDelegates(hosts, serving, f.locality())
 }
 
--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -22,31 +22,11 @@
 	f.warmUp()
 	stop := f.startLoad(0)
 	f.waitForQueries(20)
-	crashing := testbed.Search(0)
-	crashing.Body = json.RawMessage(`{"text":"` + testbed.CrashMarker + `"}`)
 	begin := time.Now()
-	if _, err := f.caller.Query(t.Context(), crashing); err != nil {
+	if _, err := f.caller.Query(t.Context(), crashingSearch()); err != nil {
 		t.Fatal(err)
 	}
-	var senders sync.WaitGroup
-	for _, entry := range f.Entries() {
-		client, err := caller.New([]netip.AddrPort{entry}, caller.Options{Attempts: 1})
-		if err != nil {
-			t.Fatal(err)
-		}
-		for range 2 {
-			senders.Go(func() {
-				for range 5 {
-					query := crashing
-					query.RequestID = ""
-					if answer, err := client.Query(t.Context(), query); err == nil && answer.Status == caller.StatusComplete {
-						t.Errorf("crashing request: got %s, want it not to complete", answer.Status)
-					}
-				}
-			})
-		}
-	}
-	senders.Wait()
+	f.sendCrashing(5)
 	end := time.Now()
 	f.waitForQueries(50)
 	if got := f.Crashes(); got < 1 || got > 2 {
@@ -78,26 +58,40 @@
 func TestCrashingFirstSends(t *testing.T) {
 	f := startFixture(t, func(s *testbed.Settings) { s.Canary = configurator.CanaryUnseen })
 	f.warmUp()
+	f.sendCrashing(1)
+	if got := f.Crashes(); got < 1 || got > 2 {
+		t.Errorf("servers crashed by the request: got %d, want 1 or 2", got)
+	}
+}
+
+func crashingSearch() caller.Query {
+	query := testbed.Search(0)
+	query.RequestID = ""
+	query.Body = json.RawMessage(`{"text":"` + testbed.CrashMarker + `"}`)
+	return query
+}
+
+// sendCrashing sends a crashing request through every node, by two callers at the same time and some times in a row, and
+// waits for the answers; none may be complete.
+func (f *fixture) sendCrashing(times int) {
+	f.Helper()
 	var senders sync.WaitGroup
 	for _, entry := range f.Entries() {
 		client, err := caller.New([]netip.AddrPort{entry}, caller.Options{Attempts: 1})
 		if err != nil {
-			t.Fatal(err)
+			f.Fatal(err)
 		}
 		for range 2 {
 			senders.Go(func() {
-				query := testbed.Search(0)
-				query.Body = json.RawMessage(`{"text":"` + testbed.CrashMarker + `"}`)
-				if answer, err := client.Query(t.Context(), query); err == nil && answer.Status == caller.StatusComplete {
-					t.Errorf("crashing request: got %s, want it not to complete", answer.Status)
+				for range times {
+					if answer, err := client.Query(f.Context(), crashingSearch()); err == nil && answer.Status == caller.StatusComplete {
+						f.Errorf("crashing request: got %s, want it not to complete", answer.Status)
+					}
 				}
 			})
 		}
 	}
 	senders.Wait()
-	if got := f.Crashes(); got < 1 || got > 2 {
-		t.Errorf("servers crashed by the request: got %d, want 1 or 2", got)
-	}
 }
 
 // wantWarm fails the test unless all servers are warm with unchanged owner and boot ID according to every daemon.
--- a/internal/standin/backendserver/handler.go
+++ b/internal/standin/backendserver/handler.go
@@ -243,11 +243,7 @@
 		if boot.ctx.Err() != nil || ctx.Err() == context.Canceled {
 			panic(http.ErrAbortHandler)
 		}
-		s.recordRefusal(string(broker.ReasonDeadline))
-		writeJSON(w, http.StatusGatewayTimeout, refusal{
-			RequestID: req.RequestID, Attempt: req.Attempt, Reason: string(broker.ReasonDeadline), BootID: boot.id,
-		})
-		return nil
+		return &refusal{Reason: string(broker.ReasonDeadline), BootID: boot.id, status: http.StatusGatewayTimeout}
 	}
 	draining := s.finishExecution(boot, true)
 	writeJSON(w, http.StatusOK, answer{
