Log each crash that is counted, ignored or forgotten

Cause: only the quarantine itself was logged, so that logs could not tell a request whose crashes were never counted from one whose count ended with an answer or that another host counted alone.

Change: a line for each counted, ignored and forgotten crash with server, process, count and request ID, limited to 10 a second with bursts of 50; gauges of suspects and quarantined requests, counters of ignored crashes and cleared suspects. No decision changes.

--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -135,6 +135,15 @@
 	return stateOf(&e, now)
 }
 
+// Crashes returns the number of counted crashes of the fingerprint.
+func (q *Quarantiner) Crashes(fingerprint broker.Fingerprint, now time.Time) int {
+	e, ok := (*q.current.Load())[fingerprint]
+	if !ok || q.expired(&e, now) {
+		return 0
+	}
+	return len(e.crashes)
+}
+
 // ClaimTrial claims the trial run of a suspect for a server and returns the state before the claim. For Clear, the
 // caller may run the request; for Suspect, it announces the trial run, waits until the other nodes know of it, and then
 // calls HoldsTrial.
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
+	"github.com/yuccarock/yuccarock/internal/logger"
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
@@ -24,6 +25,10 @@
 	maxReports     = 256
 	maxReportBytes = 64 << 10
 	reportTimeout  = 500 * time.Millisecond
+	// Log lines about suspects are limited to suspectLogRate per second with a burst of suspectLogBurst, because many
+	// connections can break at once.
+	suspectLogRate  = 10
+	suspectLogBurst = 50
 	// quarantineRetry is how long the caller of a quarantined request is asked to wait before a retry.
 	quarantineRetry = 10 * time.Second
 )
@@ -34,16 +39,29 @@
 	quarantiner *quarantiner.Quarantiner
 	reports     chan broker.CrashReport
 	logger      *slog.Logger
+	logLimiter  *logger.Limiter
 	crashes     *metrics.Counter
+	ignored     *metrics.Counter
+	cleared     *metrics.Counter
 	dropped     *metrics.Counter
 }
 
-func newQuarantine(set *metrics.Set, logger *slog.Logger) *quarantine {
-	return &quarantine{
+func newQuarantine(set *metrics.Set, log *slog.Logger) *quarantine {
+	q := &quarantine{
 		quarantiner: quarantiner.New(quarantiner.DirectOptions()), reports: make(chan broker.CrashReport, maxReports),
-		logger: logger, crashes: set.GetOrCreateCounter("yuccarock_crash_reports_total"),
+		logger: log, logLimiter: logger.NewLimiter(suspectLogRate, suspectLogBurst),
+		crashes: set.GetOrCreateCounter("yuccarock_crash_reports_total"),
+		ignored: set.GetOrCreateCounter("yuccarock_crash_reports_ignored_total"),
+		cleared: set.GetOrCreateCounter("yuccarock_crash_suspects_cleared_total"),
 		dropped: set.GetOrCreateCounter("yuccarock_crash_reports_dropped_total"),
 	}
+	set.NewGauge("yuccarock_crash_suspects", func() float64 {
+		return float64(len(q.quarantiner.List(time.Now()).Suspects))
+	})
+	set.NewGauge("yuccarock_quarantined_requests", func() float64 {
+		return float64(len(q.quarantiner.List(time.Now()).Quarantined))
+	})
+	return q
 }
 
 // contentFingerprint identifies the content of a request.
@@ -100,14 +118,31 @@
 
 // applyReport applies a report; request is the request ID, empty for a report of another host.
 func (q *quarantine) applyReport(report broker.CrashReport, request string) {
-	if !report.Cleared {
+	now := time.Now()
+	before := q.quarantiner.Crashes(report.Fingerprint, now)
+	state := q.quarantiner.Report(report, now)
+	after := q.quarantiner.Crashes(report.Fingerprint, now)
+	message, level := "request is a suspect, its server was lost", slog.LevelInfo
+	switch {
+	case report.Cleared:
+		if before == 0 || after > 0 {
+			return
+		}
+		q.cleared.Inc()
+		message = "request is no suspect, a server answered it"
+	case after == before:
+		q.crashes.Inc()
+		q.ignored.Inc()
+		message = "ignored a crash that was counted or is too close to another"
+	case state == quarantiner.Quarantined:
+		q.crashes.Inc()
+		message, level = "request quarantined, it crashes each server that runs it", slog.LevelWarn
+	default:
 		q.crashes.Inc()
 	}
-	now := time.Now()
-	before := q.quarantiner.State(report.Fingerprint, now)
-	if after := q.quarantiner.Report(report, now); after == quarantiner.Quarantined && before != after {
-		q.logger.Warn("request quarantined, it crashes each server that runs it", "fingerprint", uint64(report.Fingerprint),
-			"server", report.Server, "id", request)
+	if skipped, ok := q.logLimiter.Allow(now); ok || level == slog.LevelWarn {
+		q.logger.Log(context.Background(), level, message, "fingerprint", uint64(report.Fingerprint),
+			"server", report.Server, "process", report.BootID, "crashes", after, "id", request, "skippedLines", skipped)
 	}
 }
 
