Take only an answered request for proof that its server survived it

Callers saw: a request that crashes servers was sent to them again without end while servers also shed load.

Cause: on the direct path any answer of a server ended the count of crashes, also a refusal that says the request did not run, a failure that took the place of the run, or an answer to another request. Delegated sub-requests already counted answered ones only.

Evidence: TestCrashesBetweenRefusals, on the code before: 10 of 20 sends crashed servers after the third crash, want at most 3.

Why it works: with refusals left out, three crashes quarantine the request whatever its other attempts meet.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -100,13 +100,14 @@
 func (s *session) attempt(ctx context.Context, sub *broker.SubRequest, to receiver) attemptResult {
 	sent := time.Now()
 	result := s.forwarder.exchange(ctx, s.request, sub, to, s.deadline, s.route.Scatter())
-	s.recordForQuarantine(sub, result.sent, result.answer != nil, result.Reason)
+	s.recordForQuarantine(sub, result.sent, result.Outcome == broker.OutcomeAnswered, result.Reason)
 	ended := attemptResult{answer: scatterer.NotSent(sub), opaque: result.answer, sent: sent}
 	ended.answer.Outcome, ended.answer.Reason = result.Outcome, result.Reason
 	return ended
 }
 
-// recordForQuarantine records whether a server survived the request.
+// recordForQuarantine records whether a server survived the request. A refusal, a failure or an answer to another
+// request does not show that the server ran it.
 func (s *session) recordForQuarantine(sub *broker.SubRequest, sent, answered bool, reason broker.Reason) {
 	quarantine := s.forwarder.quarantine
 	switch {
