Count the crashes of a search over all its shards

Callers saw: a search that crashes servers reached those of other shards again and again.

Cause: crashes were counted for each service alone, so that three crashes at three shards counted one each.

Change: they are counted by the content of the request as well; an answer of any service ends that count, so that a search that only meets lost servers is not refused. The count by service stays, for a request that only some services survive.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -112,8 +112,9 @@
 	quarantine := s.forwarder.quarantine
 	switch {
 	case answered:
+		s.answered.Store(true)
 		quarantine.recordSurvival(s.request, sub)
 	case sent && reason == broker.ReasonLost:
-		quarantine.recordCrash(s.request, sub)
+		quarantine.recordCrash(s.request, sub, s.answered.Load())
 	}
 }
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -33,8 +33,8 @@
 	quarantineRetry = 10 * time.Second
 )
 
-// quarantine refuses requests that crash every server that runs them. A request is identified by its content and by the
-// service that it crashed, so that answers of other shards do not clear it.
+// quarantine refuses requests that crash every server that runs them. Crashes are counted by the content of the request,
+// where an answer of any service ends the count, and by content and service, where only an answer of that service does.
 type quarantine struct {
 	quarantiner *quarantiner.Quarantiner
 	reports     chan broker.CrashReport
@@ -83,16 +83,21 @@
 	quarantined := func(service string) bool {
 		return q.quarantiner.State(serviceFingerprint(content, service), now) == quarantiner.Quarantined
 	}
-	return slices.ContainsFunc(route.Shards, quarantined) ||
+	return q.quarantiner.State(content, now) == quarantiner.Quarantined || slices.ContainsFunc(route.Shards, quarantined) ||
 		slices.ContainsFunc(route.Targets, func(target broker.Target) bool { return quarantined(target.Service) })
 }
 
-// recordCrash reports that the connection to a server broke while it worked on a request.
-func (q *quarantine) recordCrash(request *broker.OpaqueRequest, sub *broker.SubRequest) {
-	q.addReport(broker.CrashReport{
-		Fingerprint: serviceFingerprint(contentFingerprint(request), string(sub.Shard)),
-		Server:      sub.Server, // the name identifies the process
-	}, request.ID)
+// recordCrash reports that the connection to a server broke while it worked on a request; answered is whether another
+// server has answered the request.
+func (q *quarantine) recordCrash(request *broker.OpaqueRequest, sub *broker.SubRequest, answered bool) {
+	content := contentFingerprint(request)
+	report := broker.CrashReport{Server: sub.Server} // the name identifies the process
+	if !answered {
+		report.Fingerprint = content
+		q.addReport(report, request.ID)
+	}
+	report.Fingerprint = serviceFingerprint(content, string(sub.Shard))
+	q.addReport(report, request.ID)
 }
 
 // recordSurvival reports that a server survived a suspect request.
@@ -100,15 +105,19 @@
 	if q.quarantiner.Empty() {
 		return
 	}
-	fingerprint := serviceFingerprint(contentFingerprint(request), string(sub.Shard))
-	if q.quarantiner.State(fingerprint, time.Now()) == quarantiner.Suspect {
-		q.addReport(broker.CrashReport{Fingerprint: fingerprint, Server: sub.Server, Cleared: true}, request.ID)
+	now, content := time.Now(), contentFingerprint(request)
+	for _, fingerprint := range []broker.Fingerprint{content, serviceFingerprint(content, string(sub.Shard))} {
+		if q.quarantiner.State(fingerprint, now) == quarantiner.Suspect {
+			q.addReport(broker.CrashReport{Fingerprint: fingerprint, Server: sub.Server, Cleared: true}, request.ID)
+		}
 	}
 }
 
-// addReport applies a report of this host and queues it for the others.
+// addReport applies a report of this host and queues it for the others if it changed the count: they would ignore it too.
 func (q *quarantine) addReport(report broker.CrashReport, request string) {
-	q.applyReport(report, request)
+	if !q.applyReport(report, request) {
+		return
+	}
 	select {
 	case q.reports <- report:
 	default:
@@ -116,8 +125,9 @@
 	}
 }
 
-// applyReport applies a report; request is the request ID, empty for a report of another host.
-func (q *quarantine) applyReport(report broker.CrashReport, request string) {
+// applyReport applies a report and reports whether it changed the count; request is the request ID, empty for a report of
+// another host.
+func (q *quarantine) applyReport(report broker.CrashReport, request string) bool {
 	now := time.Now()
 	before := q.quarantiner.Crashes(report.Fingerprint, now)
 	state := q.quarantiner.Report(report, now)
@@ -126,7 +136,7 @@
 	switch {
 	case report.Cleared:
 		if before == 0 || after > 0 {
-			return
+			return false
 		}
 		q.cleared.Inc()
 		message = "request is no suspect, a server answered it"
@@ -144,6 +154,7 @@
 		q.logger.Log(context.Background(), level, message, "fingerprint", uint64(report.Fingerprint),
 			"server", report.Server, "process", report.BootID, "crashes", after, "id", request, "skippedLines", skipped)
 	}
+	return before != after
 }
 
 // nextBatch waits for the next reports to send; it returns none if ctx ends.
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -64,6 +65,7 @@
 	lastFailure    *broker.OpaqueAnswer // last failure answer of a backend server
 	failedAttempts []any                // attempts without a successful answer, for the log
 	callerGone     bool
+	answered       atomic.Bool // whether a server has answered an attempt
 	result         string
 }
 
