Tell the processes of a server apart without its registration

Callers saw: a request that crashes servers reached them without end while servers came back under their IDs and the store did not show it, as during an outage of the store.

Cause: a process was known by the name of its registration alone. Its second crash under one name was taken for a repeated report of the first, so that two servers never gave the three crashes that quarantine a request.

Change: each connection carries how often the server had been out of reach before it was opened (a failed dial after one that had succeeded). The number goes with lost answers, also with those of delegated sub-requests, and is the process in crash reports. Ruled out: counting the same name again after some time. A server that resets connections and lives would then quarantine requests that crash nothing; TestDirect ('connections to one process') forbids it.

--- a/internal/broker/delegation.go
+++ b/internal/broker/delegation.go
@@ -48,6 +48,8 @@
 	Latency time.Duration `cbor:"5,keyasint,omitempty"`
 	// Signature is the server's signature of an answered part.
 	Signature string `cbor:"6,keyasint,omitempty"`
+	// Outages is ServerReply.Outages of the exchange.
+	Outages int `cbor:"7,keyasint,omitempty"`
 }
 
 // DelegationSender sends delegations to other hosts.
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -45,6 +45,7 @@
 		}
 		return broker.ServerReply{
 			Sent: e.sent, BytesSent: e.bytesSent, BytesReceived: e.bytesReceived, Reason: reason, Err: err,
+			Outages: e.outages,
 		}
 	}
 	return broker.ServerReply{
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -40,6 +40,8 @@
 	waiters      []chan struct{}
 	redialAt     time.Time // no idle connections are opened before this time
 	silentInARow int       // silent exchanges since the last successful one on a reused connection
+	unreachable  bool      // the last dial failed
+	outages      int       // times that a dial failed after one that had not
 }
 
 // acquire returns a connection for exclusive use and waits for one while the limit is reached. With fresh set, it
@@ -129,6 +131,10 @@
 	if err != nil {
 		p.mu.Lock()
 		p.redialAt = time.Now().Add(redialDelay)
+		if !p.unreachable {
+			p.unreachable = true
+			p.outages++
+		}
 		p.mu.Unlock()
 		p.connClosed()
 		p.counters.dialsFailed.Inc()
@@ -136,7 +142,12 @@
 			Err: errors.Wrap(broker.ErrUnreachable, err.Error())}
 	}
 	p.counters.opened.Inc()
-	return newConn(socket), nil
+	c := newConn(socket)
+	p.mu.Lock()
+	p.unreachable = false
+	c.outages = p.outages
+	p.mu.Unlock()
+	return c, nil
 }
 
 // release makes a connection idle, or discards it if none are to be kept or the limit is exceeded.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,6 +32,7 @@
 	answer  *broker.OpaqueAnswer // nil if no complete answer was received
 	sent    bool                 // whether any byte of the request may have reached the server
 	latency time.Duration
+	outages int // of the server before its connection was opened, if it was lost
 }
 
 // exchange sends a request to a server and records the outcome for it. A part of a scatter that is not a success counts
@@ -57,7 +58,7 @@
 	if to.instance.Zone != f.settings.Zone {
 		f.meters.crossZone(sub.Attempt, reply.BytesSent, reply.BytesReceived)
 	}
-	result := exchangeResult{answer: reply.Answer, sent: reply.Sent, latency: now.Sub(sent)}
+	result := exchangeResult{answer: reply.Answer, sent: reply.Sent, latency: now.Sub(sent), outages: reply.Outages}
 	if reply.Answer == nil {
 		result.Outcome, result.Reason = broker.OutcomeUnknown, reply.Reason
 		if !reply.Sent {
@@ -100,7 +101,7 @@
 func (s *session) attempt(ctx context.Context, sub *broker.SubRequest, to receiver) attemptResult {
 	sent := time.Now()
 	result := s.forwarder.exchange(ctx, s.request, sub, to, s.deadline, s.route.Scatter())
-	s.recordForQuarantine(sub, result.sent, result.Outcome == broker.OutcomeAnswered, result.Reason)
+	s.recordForQuarantine(sub, result.sent, result.Classification, result.outages)
 	ended := attemptResult{answer: scatterer.NotSent(sub), opaque: result.answer, sent: sent}
 	ended.answer.Outcome, ended.answer.Reason = result.Outcome, result.Reason
 	return ended
@@ -108,13 +109,13 @@
 
 // recordForQuarantine records whether a server survived the request. A refusal, a failure or an answer to another
 // request does not show that the server ran it.
-func (s *session) recordForQuarantine(sub *broker.SubRequest, sent, answered bool, reason broker.Reason) {
+func (s *session) recordForQuarantine(sub *broker.SubRequest, sent bool, result broker.Classification, outages int) {
 	quarantine := s.forwarder.quarantine
 	switch {
-	case answered:
+	case result.Outcome == broker.OutcomeAnswered:
 		s.answered.Store(true)
 		quarantine.recordSurvival(s.request, sub)
-	case sent && reason == broker.ReasonLost:
-		quarantine.recordCrash(s.request, sub, s.answered.Load())
+	case sent && result.Reason == broker.ReasonLost:
+		quarantine.recordCrash(s.request, sub, outages, s.answered.Load())
 	}
 }
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -226,7 +226,8 @@
 		a.to.server.MarkReassigned(a.to.instance.Address)
 	}
 	a.to.server.ExchangeEnded(d.sent, d.sent.Add(latency), !answered)
-	d.session.recordForQuarantine(a.sub, part.Sent, answered, part.Reason)
+	d.session.recordForQuarantine(a.sub, part.Sent,
+		broker.Classification{Outcome: part.Outcome, Reason: part.Reason}, part.Outages)
 	ended := attemptResult{answer: scatterer.NotSent(a.sub), sent: d.sent}
 	ended.answer.Outcome, ended.answer.Reason, ended.answer.Latency = part.Outcome, part.Reason, latency
 	if answered {
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -88,10 +89,13 @@
 }
 
 // recordCrash reports that the connection to a server broke while it worked on a request; answered is whether another
-// server has answered the request.
-func (q *quarantine) recordCrash(request *broker.OpaqueRequest, sub *broker.SubRequest, answered bool) {
+// server has answered the request. The name of the server changes with its registration, which may be late or missing
+// after a restart, so that an outage in between also distinguishes two processes.
+func (q *quarantine) recordCrash(
+	request *broker.OpaqueRequest, sub *broker.SubRequest, outages int, answered bool,
+) {
 	content := contentFingerprint(request)
-	report := broker.CrashReport{Server: sub.Server} // the name identifies the process
+	report := broker.CrashReport{Server: sub.Server, BootID: strconv.Itoa(outages)}
 	if !answered {
 		report.Fingerprint = content
 		q.addReport(report, request.ID)
