Let hosts read from each other which requests crash servers

Callers saw: after each restart of a host, a request that crashes servers was sent to three more of them by that host.

Cause: a crash report was sent once, to the hosts that served at that moment. A host that had restarted, began to serve, or was cut off did not learn of it from anyone, and counted three crashes of its own.

Change: the answer to a probe identifies the set of quarantined requests. A host whose set differs reads that of one such host after each round of probes, so within a second of the first answer; entries keep their start, so that they expire everywhere. Ruled out: repeating reports until each host has acknowledged them. A host that starts later is still missed.

TestRestore guards the expiry.

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -39,6 +39,8 @@
 type Answer struct {
 	Ready bool
 	Load  float64 // processor cores in use
+	// Quarantine identifies the set of requests that the host refuses because they crash servers; empty for none.
+	Quarantine string
 }
 
 // Check sends one probe to a host; an error means that the host did not answer.
@@ -66,6 +68,8 @@
 	record  broker.HostRecord
 	machine *fsm.FSM
 	load    float64 // processor cores in use, from the last probe
+	// quarantine is Answer.Quarantine of the last probe.
+	quarantine string
 }
 
 // New returns a prober without hosts.
@@ -157,6 +161,19 @@
 	return load
 }
 
+// WithQuarantineOtherThan returns the hosts that refuse a set of requests that is not empty and not the given one.
+func (p *Prober) WithQuarantineOtherThan(own string) []broker.HostRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []broker.HostRecord
+	for _, h := range p.hosts {
+		if h.quarantine != "" && h.quarantine != own {
+			hosts = append(hosts, h.record)
+		}
+	}
+	return hosts
+}
+
 // Silent returns the names of the hosts that did not answer their last probe.
 func (p *Prober) Silent() map[string]bool {
 	p.mu.Lock()
@@ -221,7 +238,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h.load = answer.Load
+	h.load, h.quarantine = answer.Load, answer.Quarantine
 	// The library returns an error if the state does not change; this needs no action.
 	_ = h.machine.Event(ctx, event)
 }
--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -276,6 +277,46 @@
 	return list
 }
 
+// Quarantined returns the quarantined fingerprints, sorted, to be restored by another host or a later process.
+func (q *Quarantiner) Quarantined(now time.Time) []broker.QuarantinedRequest {
+	var list []broker.QuarantinedRequest
+	for fingerprint, e := range *q.current.Load() {
+		if e.quarantined && !q.expired(&e, now) {
+			list = append(list, broker.QuarantinedRequest{Fingerprint: fingerprint, Since: e.since})
+		}
+	}
+	slices.SortFunc(list, func(a, b broker.QuarantinedRequest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
+// Restore adds quarantined fingerprints of another host or an earlier process and returns how many are new. They expire
+// as they would have there, so that hosts that restore from each other keep none for ever.
+func (q *Quarantiner) Restore(list []broker.QuarantinedRequest, now time.Time) int {
+	added := 0
+	q.current.Update(func(current *entries) *entries {
+		next := maps.Clone(*current)
+		added = 0
+		for _, request := range list {
+			restored := entry{since: request.Since, quarantined: true}
+			if restored.since.After(now) {
+				restored.since = now
+			}
+			e, ok := next[request.Fingerprint]
+			if request.Fingerprint == 0 || q.expired(&restored, now) || ok && e.quarantined && !q.expired(&e, now) {
+				continue
+			}
+			next[request.Fingerprint] = restored
+			added++
+		}
+		if added == 0 {
+			return nil
+		}
+		q.evict(next, 0, now)
+		return &next
+	})
+	return added
+}
+
 func stateOf(e *entry, now time.Time) State {
 	switch {
 	case e.quarantined:
--- a/internal/broker/coordination/quarantiner/quarantiner_test.go
+++ b/internal/broker/coordination/quarantiner/quarantiner_test.go
@@ -135,6 +135,35 @@
 	}
 }
 
+// TestRestore guards against a quarantine that never ends because hosts restore it from each other in turn.
+func TestRestore(t *testing.T) {
+	ttl := DirectOptions().QuarantineTTL
+	tests := []struct {
+		name  string
+		since time.Duration // of the quarantine at the other host
+		at    time.Duration
+		want  State
+	}{
+		{"just begun", 0, 0, Quarantined},
+		{"nearly over", -ttl + time.Second, 0, Quarantined},
+		{"over since it was restored", -ttl + time.Second, time.Second, Clear},
+		{"over", -ttl, 0, Clear},
+		{"clock of the other host is ahead", time.Hour, ttl, Clear},
+	}
+	for _, tt := range tests {
+		first, second := New(DirectOptions()), New(DirectOptions())
+		first.Restore([]broker.QuarantinedRequest{{Fingerprint: 1, Since: epoch.Add(tt.since)}}, epoch)
+		second.Restore(first.Quarantined(epoch), epoch)
+		if got := second.State(1, epoch.Add(tt.at)); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	q := New(DirectOptions())
+	if got := q.Restore([]broker.QuarantinedRequest{{Since: epoch}}, epoch); got != 0 || !q.Empty() {
+		t.Errorf("fingerprint zero: got %d restored, want 0", got)
+	}
+}
+
 // TestSimultaneousTrials guards against two nodes that both run a suspect because each claimed the trial run before it
 // learned of the other's claim.
 func TestSimultaneousTrials(t *testing.T) {
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -99,6 +99,23 @@
 	return err
 }
 
+// Get reads a JSON document from a path of another host into reply.
+func (r *Relays) Get(ctx context.Context, from netip.AddrPort, path string, reply any) error {
+	op := "read from " + from.String()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+path, nil)
+	if err != nil {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	data, err := r.exchange(op, request)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
+	}
+	return nil
+}
+
 // exchange sends a request to another host and returns the body of the answer.
 func (r *Relays) exchange(op string, request *http.Request) ([]byte, error) {
 	response, err := r.client.Do(request)
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -128,6 +128,13 @@
 	InFlight     int        `cbor:"9,keyasint" json:"inFlight"`
 }
 
+// QuarantinedRequest is a request that is refused because it crashes servers.
+type QuarantinedRequest struct {
+	Fingerprint Fingerprint `json:"fingerprint,string"`
+	// Since is the start of the quarantine, on the clock of the host that stated it.
+	Since time.Time `json:"since"`
+}
+
 // CrashReport informs all nodes that a backend server crashed while running a request.
 type CrashReport struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -80,6 +80,7 @@
 		f.load.sampleProcessorTime(time.Now(), processorTime())
 		f.load.updateWanted(f.prober.Load() + f.load.ownCores())
 		f.updateHostShare()
+		f.syncQuarantine(ctx)
 		f.awaitProbe(ctx, started.Add(prober.DefaultInterval))
 	}
 }
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -12,6 +12,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayer.Path(""), f.feeds.handler())
 	mux.HandleFunc("POST "+crashesPath, f.quarantine.serveReports)
+	mux.HandleFunc("GET "+quarantinePath, f.quarantine.serveList)
 	mux.Handle("POST "+messenger.Path, messenger.NewHandler(f.runDelegation, f.set, f.logger))
 	return mux
 }
