Keep the quarantined requests in the platform's store

Callers saw: after a restart of all hosts, a request that crashes servers was sent to three more of them by each host.

Cause: the quarantine was only in the memory of hosts, and hosts have no disk.

Change: the first of the serving hosts keeps the quarantined requests in the stored list of servers, which each host reads at its start; no call is added but a write when the set changes. A clock that jumps moves the end of a quarantine by as much. Ruled out: an object for each request (a write for each, and a listing that grows), and a watch by all hosts (reports and probes already carry changes while hosts live).

--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -97,10 +97,11 @@
 	return r == other && startedAt.Equal(otherStartedAt)
 }
 
-// ServerList is the copy of all registrations that the hosts keep in the platform's store, for hosts that start while
-// the servers' own entries have expired.
+// ServerList is what the hosts keep in the platform's store for hosts that start later: a copy of all registrations,
+// because the servers' own entries may have expired, and the quarantined requests.
 type ServerList struct {
-	Servers []Registration `json:"servers"`
+	Servers     []Registration       `json:"servers"`
+	Quarantined []QuarantinedRequest `json:"quarantined,omitempty"`
 }
 
 // HostRecord is the record that an entry host writes to the platform's store about itself, for the other hosts.
--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -9,34 +9,45 @@
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
-// maintainServerList restores the servers in the stored list, whose entries may have expired while the store was
-// unavailable. It then keeps the list up to date while this host is the first of the serving hosts.
+// maintainServerList restores the stored list. It then keeps the list up to date while this host is the first of the
+// serving hosts.
 func (f *Forwarder) maintainServerList(ctx context.Context) {
 	written := f.restoreServerList(ctx)
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, serverListInterval)
-		active := f.registrar.ActiveServers()
-		if !f.isFirstServing() || len(active) == 0 || slices.EqualFunc(active, written, broker.Registration.Equal) {
+		current := broker.ServerList{
+			Servers: f.registrar.ActiveServers(), Quarantined: f.quarantine.quarantiner.Quarantined(time.Now()),
+		}
+		if !f.isFirstServing() || len(current.Servers) == 0 || sameServerList(current, written) {
 			continue
 		}
 		f.gate.Await(ctx)
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := f.sources.Lists.Put(callCtx, serverListName, broker.ServerList{Servers: active})
+		err := f.sources.Lists.Put(callCtx, serverListName, current)
 		cancel()
 		if err != nil {
 			f.logger.Warn("could not write the list of servers", "error", err)
 			continue
 		}
-		written = active
-		f.logger.Info("wrote the list of servers", "servers", len(active))
+		written = current
+		f.logger.Info("wrote the list of servers", "servers", len(current.Servers), "quarantined", len(current.Quarantined))
 	}
 }
 
-// restoreServerList restores the servers in the stored list and returns them. There is no list at the first start of
-// the whole system.
-func (f *Forwarder) restoreServerList(ctx context.Context) []broker.Registration {
+// sameServerList reports whether two lists have the same servers and quarantined requests. Hosts state different starts
+// of a quarantine.
+func sameServerList(a, b broker.ServerList) bool {
+	return slices.EqualFunc(a.Servers, b.Servers, broker.Registration.Equal) &&
+		slices.EqualFunc(a.Quarantined, b.Quarantined, func(x, y broker.QuarantinedRequest) bool {
+			return x.Fingerprint == y.Fingerprint
+		})
+}
+
+// restoreServerList restores the servers and quarantined requests of the stored list and returns it. There is no list
+// at the first start of the whole system.
+func (f *Forwarder) restoreServerList(ctx context.Context) broker.ServerList {
 	if f.settings.FirstStart {
-		return nil
+		return broker.ServerList{}
 	}
 	for ctx.Err() == nil {
 		f.gate.Await(ctx)
@@ -51,13 +62,14 @@
 		for _, item := range items {
 			if item.Name == serverListName {
 				f.registrar.RestoreServers(item.Value.Servers, time.Now())
+				f.quarantine.restore(item.Value.Quarantined, "stored list")
 				f.logger.Info("recalled servers", "servers", len(item.Value.Servers))
-				return item.Value.Servers
+				return item.Value
 			}
 		}
-		return nil
+		break
 	}
-	return nil
+	return broker.ServerList{}
 }
 
 // isFirstServing reports whether this host is the first by name of those that serve callers.
