Record and log what backend servers state about themselves

Cause: no log or metric showed that a server had named a limit, or which host knew of it, so that the hypotheses on LIMIT could not be told apart.

Change: the adapter reads the limit of an answer into a notice; the host keeps the last one of each server, by the time at which its request was sent, and logs and counts each change, limited to 10 lines a second. Results of delegated sub-requests carry the notice to the host that chose the server. No decision changes.

--- a/internal/broker/delegation.go
+++ b/internal/broker/delegation.go
@@ -50,6 +50,8 @@
 	Signature string `cbor:"6,keyasint,omitempty"`
 	// Outages is ServerReply.Outages of the exchange.
 	Outages int `cbor:"7,keyasint,omitempty"`
+	// Notice is what the server states about itself in its answer, or nil if it did not answer.
+	Notice *ServerNotice `cbor:"8,keyasint,omitempty"`
 }
 
 // DelegationSender sends delegations to other hosts.
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -120,6 +120,9 @@
 	Head(to []byte, request *OpaqueRequest, instance string, remaining time.Duration) []byte
 	// Matches reports whether the header of an answer names the request.
 	Matches(request *OpaqueRequest, header http.Header) bool
+	// Notice returns what the backend server states about itself in an answer, and an error if a part of it is malformed.
+	// The malformed part is left out.
+	Notice(answer *OpaqueAnswer) (ServerNotice, error)
 	// Classify returns the outcome of the attempt according to an answer.
 	Classify(request *OpaqueRequest, answer *OpaqueAnswer) Classification
 	// WriteAnswer sends a backend server's answer to the caller unchanged.
--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -33,6 +33,7 @@
 	announcements []announcement // guarded by the tracker's lock
 
 	exchanges exchangeStats
+	notice    atomic.Pointer[receivedNotice]
 }
 
 func newServer(name broker.ServerName, common *periodEstimator) *Server {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,7 +32,8 @@
 	answer  *broker.OpaqueAnswer // nil if no complete answer was received
 	sent    bool                 // whether any byte of the request may have reached the server
 	latency time.Duration
-	outages int // of the server before its connection was opened, if it was lost
+	outages int                  // of the server before its connection was opened, if it was lost
+	notice  *broker.ServerNotice // nil if the server did not answer
 }
 
 // exchange sends a request to a server and records the outcome for it. A part of a scatter that is not a success counts
@@ -75,6 +76,9 @@
 	if part && result.Outcome == broker.OutcomeAnswered && reply.Answer.Status/100 != 2 {
 		result.Classification = broker.Classification{Outcome: broker.OutcomeFailed, Reason: broker.ReasonBackendError}
 	}
+	if result.Reason != broker.ReasonMoved && result.Reason != broker.ReasonMismatch {
+		result.notice = f.readNotice(to, reply.Answer, sent)
+	}
 	if result.Reason == broker.ReasonMoved {
 		to.server.MarkReassigned(to.instance.Address)
 	}
@@ -82,6 +86,16 @@
 	return result
 }
 
+// readNotice records what the server states in its answer to a request that was sent at sentAt.
+func (f *Forwarder) readNotice(to receiver, answer *broker.OpaqueAnswer, sentAt time.Time) *broker.ServerNotice {
+	notice, err := f.codec.Notice(answer)
+	if err != nil {
+		f.notices.reportMalformed(to, err)
+	}
+	f.notices.report(to, notice, sentAt)
+	return &notice
+}
+
 func (s *session) startAttempt(ctx context.Context, sub *broker.SubRequest) {
 	to, ok := s.forwarder.receiver(s.view, sub.Server)
 	if !ok {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -78,7 +78,7 @@
 	sub := &broker.SubRequest{RequestID: request.ID, Shard: broker.ShardName(to.instance.Service), Server: name, Attempt: 1}
 	result := f.exchange(ctx, request, sub, to, deadline, true)
 	part.Outcome, part.Reason, part.Sent, part.Latency = result.Outcome, result.Reason, result.sent, result.latency
-	part.Outages = result.outages
+	part.Outages, part.Notice = result.outages, result.notice
 	if result.Outcome == broker.OutcomeAnswered {
 		part.Signature, part.records = result.answer.Signature, result.answer.Body
 	}
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -225,6 +225,9 @@
 	if part.Reason == broker.ReasonMoved {
 		a.to.server.MarkReassigned(a.to.instance.Address)
 	}
+	if part.Notice != nil {
+		d.session.forwarder.notices.report(a.to, *part.Notice, d.sent)
+	}
 	a.to.server.ExchangeEnded(d.sent, d.sent.Add(latency), !answered)
 	d.session.recordForQuarantine(a.sub, part.Sent,
 		broker.Classification{Outcome: part.Outcome, Reason: part.Reason}, part.Outages)
--- /dev/null
+++ b/internal/forwarder/notices.go
@@ -0,0 +1,57 @@
+package forwarder
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/logger"
+)
+
+// Log lines about notices of servers are limited to noticeLogRate per second with a burst of noticeLogBurst, because a
+// faulty server may change its notice with each answer.
+const (
+	noticeLogRate  = 10
+	noticeLogBurst = 50
+)
+
+// notices counts and logs what backend servers state about themselves.
+type notices struct {
+	logger     *slog.Logger
+	logLimiter *logger.Limiter
+	limits     *metrics.Counter
+	malformed  *metrics.Counter
+}
+
+func newNotices(set *metrics.Set, log *slog.Logger) *notices {
+	return &notices{
+		logger: log, logLimiter: logger.NewLimiter(noticeLogRate, noticeLogBurst),
+		limits:    set.GetOrCreateCounter("yuccarock_server_limit_changes_total"),
+		malformed: set.GetOrCreateCounter("yuccarock_server_notices_malformed_total"),
+	}
+}
+
+// report records what a server states in the answer to a request that was sent at sentAt.
+func (n *notices) report(to receiver, notice broker.ServerNotice, sentAt time.Time) {
+	previous, recorded := to.server.ReportNotice(notice, sentAt)
+	if !recorded || previous == notice {
+		return
+	}
+	n.limits.Inc()
+	if skipped, ok := n.logLimiter.Allow(time.Now()); ok {
+		n.logger.Info("server changed its limit", "server", to.server.Name, "service", to.instance.Service,
+			"limited", notice.Limited, "limit", notice.Limit, "wasLimited", previous.Limited, "previous", previous.Limit,
+			"skippedLines", skipped)
+	}
+}
+
+// reportMalformed records that a notice could not be read.
+func (n *notices) reportMalformed(to receiver, err error) {
+	n.malformed.Inc()
+	if skipped, ok := n.logLimiter.Allow(time.Now()); ok {
+		n.logger.Warn("ignored a malformed notice of a server", "server", to.server.Name,
+			"service", to.instance.Service, "error", err, "skippedLines", skipped)
+	}
+}
