Divide the limits that backend servers state among the hosts that send to them

Cause: no code looked at the limit; a server got what its speed attracts. The class: a rate for all hosts together, of which each host sees its own part only, as cold rates and the retry budget are.

Change: each of the hosts that send to a server has a token bucket with its share of the stated rate (divider); where hosts are many and the rate low, only some are senders, in turns, so that all buckets together stay within the rate and two seconds of it at once. Of equal replicas the one with room is chosen, hedges avoid such servers, room of attempts that are not sent is given back. A request without room is rejected at once as not run, a search before it uses room at any server if its coverage cannot be reached; Retry-After is between one and two times the time until there is room.

Ruled out: the whole rate at each host (three hosts send three times the limit); a cap of one request at a time (says nothing of a rate); telling other hosts of each limit (each learns it with its first answer, which the rule allows for); claims through the store (a call for each request or a lease for each server and host); refusing shard by shard (searches used room at some servers and failed for want of others).

Evidence: TestServerLimit and TestSearchWithinLimits fail without the pacing (80 requests in 4 s, want at most 23). TestRate plays 1 to 64 hosts at rates from 0 to 200 a second, with and without pauses in which they save up; TestRateWhileHostsChange replaces hosts, each seeing it at another moment. TestRoom fails without the rejection, TestRoomOfFurtherAttempts without the rule for hedges and without the return of room.

--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -220,6 +220,7 @@
 	// planned handover a share of all attempts is refused.
 	exempt := outcome == broker.OutcomeNotRun && tryOtherOwner(reason)
 	if !exempt && !s.takeRetryToken(sh) {
+		s.returnRoom(chosen)
 		s.stats.RetriesDenied++
 		return false
 	}
--- a/internal/broker/coordination/scatterer/choice.go
+++ b/internal/broker/coordination/scatterer/choice.go
@@ -117,7 +117,7 @@
 // reasonsBySpecificity lists the reasons why no replica was chosen, the most specific one last.
 var reasonsBySpecificity = []broker.Reason{
 	broker.ReasonNoReplica, broker.ReasonZoneOut, broker.ReasonDraining, broker.ReasonUnreachable,
-	broker.ReasonStalePartition, broker.ReasonSnapshotMissing, broker.ReasonCold,
+	broker.ReasonStalePartition, broker.ReasonSnapshotMissing, broker.ReasonCold, broker.ReasonLimited,
 }
 
 func moreSpecific(a, b broker.Reason) broker.Reason {
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -166,6 +166,10 @@
 		return s.endEvent()
 	}
 	s.snapshot = s.bestSnapshot(0).Snapshot
+	if s.lacksRoom() {
+		s.stopUnanswered(broker.ReasonLimited)
+		return s.endEvent()
+	}
 	if s.strategy.Target > 0 {
 		s.schedule(s.strategy.Target, 0, timerLatencyTarget)
 	}
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -125,6 +125,10 @@
 			reason = moreSpecific(reason, broker.ReasonUnreachable)
 			continue
 		}
+		if !s.hasRoom(sh, replica.Server) {
+			reason = moreSpecific(reason, broker.ReasonLimited)
+			continue
+		}
 		if replica.RateLimited(now) {
 			cold = append(cold, found)
 			continue
@@ -133,15 +137,18 @@
 			best, lowest = found, expected
 		}
 	}
-	if best.server != nil {
+	if best.server != nil && best.server.TakeRoom(now) {
 		return best, broker.ReasonNone
 	}
 	for _, found := range cold {
-		if found.server.TakeColdToken(now) {
+		if found.server.TakeColdToken(now) && found.server.TakeRoom(now) {
 			return found, broker.ReasonNone
 		}
 		reason = moreSpecific(reason, broker.ReasonCold)
 	}
+	if best.server != nil {
+		reason = broker.ReasonLimited // another query has taken the room
+	}
 	return candidate{}, reason
 }
 
--- a/internal/broker/outcome.go
+++ b/internal/broker/outcome.go
@@ -41,6 +41,7 @@
 	ReasonNotOwner        Reason = "notOwner"
 	ReasonLeaseLapsed     Reason = "leaseLapsed"
 	ReasonCold            Reason = "cold"
+	ReasonLimited         Reason = "limited" // the servers state that they take fewer requests
 	ReasonDraining        Reason = "draining"
 	ReasonZoneOut         Reason = "zoneOut"
 	ReasonLeaving         Reason = "leaving"
--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -34,6 +34,7 @@
 
 	exchanges exchangeStats
 	notice    atomic.Pointer[receivedNotice]
+	pacer     pacer
 }
 
 func newServer(name broker.ServerName, common *periodEstimator) *Server {
--- a/internal/broker/state/tracker/tracker.go
+++ b/internal/broker/state/tracker/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/holder"
@@ -25,6 +26,7 @@
 	servers     map[broker.ServerName]*Server
 	latencies   map[latencyKey]*Latency
 	pausePeriod periodEstimator
+	divider     atomic.Pointer[dividerRef]
 }
 
 // New returns a tracker without a configuration.
@@ -39,6 +41,10 @@
 // View returns the current view; a query uses the view that it started with until its end.
 func (t *Tracker) View() *View { return t.view.Load() }
 
+// SetRateDivider sets how the rates that servers state are divided among the hosts. Without a divider, this host may use
+// them whole.
+func (t *Tracker) SetRateDivider(divider broker.RateDivider) { t.divider.Store(&dividerRef{divider}) }
+
 // Server returns the record of a server, or nil.
 func (t *Tracker) Server(name broker.ServerName) *Server {
 	t.mu.Lock()
@@ -120,6 +126,7 @@
 	server := t.servers[name]
 	if server == nil {
 		server = newServer(name, &t.pausePeriod)
+		server.pacer.divider = &t.divider
 		t.servers[name] = server
 	}
 	return server
--- a/internal/explainer/line.go
+++ b/internal/explainer/line.go
@@ -74,7 +74,8 @@
 		return CauseNoHost
 	case broker.ReasonQuarantined:
 		return CauseQuarantine
-	case broker.ReasonNoReplica, broker.ReasonShed, broker.ReasonCold, broker.ReasonDraining, broker.ReasonZoneOut:
+	case broker.ReasonNoReplica, broker.ReasonShed, broker.ReasonCold, broker.ReasonDraining, broker.ReasonZoneOut,
+		broker.ReasonLimited:
 		return CauseNoServer
 	}
 	if l.Result == "callerGone" {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/budgeter"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/delegator"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/divider"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/drainer"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
@@ -118,8 +119,10 @@
 	notices    *notices
 	feeds      feeds
 	lifetime   addressLifetime
-	probeNow   chan struct{} // receives when the registered hosts have changed
-	tasks      sync.WaitGroup
+	// dividedAmong are the names of the hosts among which the rates of servers are divided.
+	dividedAmong atomic.Pointer[[]string]
+	probeNow     chan struct{} // receives when the registered hosts have changed
+	tasks        sync.WaitGroup
 
 	contact     atomic.Pointer[storeContact]
 	reloadable  atomic.Pointer[Settings] // settings as last reloaded
@@ -380,6 +383,7 @@
 	serving := f.serving()
 	helping := f.zoneDelegates(serving)
 	f.registrar.SetHostCount(len(serving))
+	f.divideRates(serving)
 	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
 	f.lifetime.observe(serving, time.Now())
 	f.registrar.SetRole(f.ownRole(serving, helping))
@@ -390,6 +394,19 @@
 	}))
 }
 
+// divideRates divides the rates that servers state among the hosts that serve callers.
+func (f *Forwarder) divideRates(serving []broker.HostRecord) {
+	names := make([]string, len(serving))
+	for i := range serving {
+		names[i] = serving[i].Name
+	}
+	slices.Sort(names)
+	if current := f.dividedAmong.Load(); current == nil || !slices.Equal(*current, names) {
+		f.dividedAmong.Store(&names)
+		f.tracker.SetRateDivider(divider.New(f.settings.Node, names))
+	}
+}
+
 // ownRole returns the role of this host, given the serving hosts and the delegates of zones without one.
 func (f *Forwarder) ownRole(serving, helping []broker.HostRecord) registrar.Role {
 	self := func(host broker.HostRecord) bool { return host.Name == f.settings.Node }
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -17,11 +17,22 @@
 	noticeLogBurst = 50
 )
 
+// maxLimitRetry is the longest time that callers are asked to wait for room at servers that state a limit.
+const maxLimitRetry = 5 * time.Second
+
+// spreadRetry returns when a caller should retry that was rejected because servers take no request for the time wait.
+// Random, from 0 to 1, spreads the callers over the time in which as much room comes back again.
+func spreadRetry(wait time.Duration, random float64) time.Duration {
+	wait = min(max(wait, noServerRetry), maxLimitRetry/2)
+	return wait + time.Duration(random*float64(wait))
+}
+
 // notices counts and logs what backend servers state about themselves.
 type notices struct {
 	logger     *slog.Logger
 	logLimiter *logger.Limiter
 	limits     *metrics.Counter
+	rejected   *metrics.Counter
 	malformed  *metrics.Counter
 }
 
@@ -29,6 +40,7 @@
 	return &notices{
 		logger: log, logLimiter: logger.NewLimiter(noticeLogRate, noticeLogBurst),
 		limits:    set.GetOrCreateCounter("yuccarock_server_limit_changes_total"),
+		rejected:  set.GetOrCreateCounter("yuccarock_requests_rejected_by_limit_total"),
 		malformed: set.GetOrCreateCounter("yuccarock_server_notices_malformed_total"),
 	}
 }
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -185,7 +185,7 @@
 	f := s.forwarder
 	complete := s.final.Status == broker.StatusComplete || s.final.Status == broker.StatusPartial
 	s.result = string(s.final.Status)
-	if s.route.Scatter() && !s.callerGone {
+	if s.route.Scatter() && !s.callerGone && s.final.Reason != broker.ReasonLimited {
 		f.isolation.recordScatter(complete)
 	}
 	switch {
@@ -201,7 +201,7 @@
 	case complete && len(s.scatter.Parts()) > 0:
 		f.codec.WriteAnswer(w, s.scatter.Parts()[0])
 	case s.final.Status == broker.StatusNotRun:
-		f.codec.WriteError(w, broker.Failure{Kind: broker.FailureNotRun, Reason: s.final.Reason, RetryAfter: noServerRetry})
+		f.codec.WriteError(w, broker.Failure{Kind: broker.FailureNotRun, Reason: s.final.Reason, RetryAfter: s.retryAfter()})
 	case s.lastFailure != nil && !s.route.Scatter():
 		s.result = "serverFailed"
 		f.codec.WriteAnswer(w, s.lastFailure)
@@ -213,6 +213,15 @@
 	}
 }
 
+// retryAfter returns when the caller of a request that did not run should retry.
+func (s *session) retryAfter() time.Duration {
+	if s.final.Reason != broker.ReasonLimited {
+		return noServerRetry
+	}
+	s.forwarder.notices.rejected.Inc()
+	return spreadRetry(s.scatter.RoomIn(), rand.Float64())
+}
+
 // log writes a line for a request that was late, incomplete or had failed attempts.
 func (s *session) log(elapsed time.Duration) {
 	onTime := s.route.LatencyTarget == 0 || elapsed <= s.route.LatencyTarget
