Answer requests that are still in progress at the end of a planned stop

Callers saw (reported by another operator, and reproduced here): requests that came late in a planned stop were taken, passed on and cut off at its end without an answer, also ones that may run once only.

Cause: a leaving host takes requests until 1.5 s before its end, whatever their timeout; what was in progress then was closed.

Change: a request that may run once only is refused as not run if its timeout reaches beyond the end of the stop; its caller loses one round trip. All others that are in progress 250 ms before the end get their final answer then, with the parts that are in. Ruled out: refusing all late requests, as most take a few tens of milliseconds and callers with old addresses have no other host yet.

--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -200,6 +200,15 @@
 	return s.endEvent()
 }
 
+// Expire ends the query with the answers so far, because this host stops before its deadline.
+func (s *Session) Expire(now time.Time) Actions {
+	if !s.beginEvent(now) {
+		return s.actions
+	}
+	s.stopUnanswered(broker.ReasonLeaving)
+	return s.endEvent()
+}
+
 // LinkDown ends the attempts at a node whose link went down; the tracker has to be updated before, so that retries go
 // to other nodes.
 func (s *Session) LinkDown(now time.Time, owner broker.NodeID) Actions {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -73,6 +73,13 @@
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonQuarantined, RetryAfter: quarantineRetry})
 		return
 	}
+	deadline := started.Add(requestTimeout(request, entry.Route))
+	if !entry.Route.Idempotent && f.lastCall.before(deadline) {
+		// The answer might come too late to be passed on, and the request must not run again.
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
+		return
+	}
 	kind, ok := requestKind(entry)
 	if !ok {
 		f.refuse(w, r, request.ID,
@@ -83,7 +90,7 @@
 	defer span.End()
 	session := &session{
 		forwarder: f, view: view, route: entry.Route, kind: kind, request: request,
-		started: started, deadline: started.Add(requestTimeout(request, entry.Route)),
+		started: started, deadline: deadline,
 	}
 	session.answer(ctx, w)
 	span.SetAttributes(attribute.String("result", session.result))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,7 @@
 	requestLogLimiter *logger.Limiter // limits the log lines of requests that were refused, slow or had failed attempts
 
 	drainer    *drainer.Drainer
+	lastCall   *lastCall
 	tracker    *tracker.Tracker
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
@@ -140,6 +141,7 @@
 		probeNow: make(chan struct{}, 1),
 	}
 	f.reloadable.Store(&deps.Settings)
+	f.lastCall = newLastCall()
 	f.drainer = drainer.New(func(from, to string) {
 		f.logger.Info("node state changed", "from", from, "to", to)
 	})
@@ -237,8 +239,10 @@
 	if err := f.drainer.Leave(); err != nil {
 		return errors.WithStack(err)
 	}
-	ctx, cancel := context.WithTimeout(force, f.reloadable.Load().StopDeadline)
+	end := time.Now().Add(f.reloadable.Load().StopDeadline)
+	ctx, cancel := context.WithDeadline(force, end)
 	defer cancel()
+	defer f.lastCall.schedule(end)()
 	f.awaitQuiet(ctx)
 	_ = callers.listener.Close()
 	f.drainer.Refuse()
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -111,6 +111,8 @@
 			s.process(ctx, &arrived)
 		case <-s.timer.C:
 			s.applyActions(ctx, s.scatter.Wake(time.Now()))
+		case <-s.forwarder.lastCall.due:
+			s.applyActions(ctx, s.scatter.Expire(time.Now()))
 		case <-ctx.Done():
 			s.callerGone = true
 			s.applyActions(ctx, s.scatter.Abandon(time.Now()))
