Send nothing more to a server that states that it is leaving

Cause: a host left a server only when the store had it as draining or gone, which lags and may be out of reach.

Change: the statement is part of the notice of an answer. The server gets attempts for 2 s more where no other server is left, never hedges, and then none until another process has its name, whatever later answers state. A host that sends for another refuses it after that time too, and passes the statement on. Each first statement is counted and logged. Ruled out: ending with the first answer that does not state it, as answers overtake each other, and a faulty server may alternate. Not handled: a server that states it for ever and stays is lost to its shard, as the rule has it.

--- a/internal/broker/coordination/divider/divider_test.go
+++ b/internal/broker/coordination/divider/divider_test.go
@@ -31,7 +31,7 @@
 		}},
 	}))
 	paced := track.Server(server)
-	paced.ReportNotice(broker.ServerNotice{Limited: true, Limit: limit}, now)
+	paced.ReportNotice(broker.ServerNotice{Limited: true, Limit: limit}, now, now)
 	return track, paced
 }
 
--- a/internal/broker/coordination/scatterer/room.go
+++ b/internal/broker/coordination/scatterer/room.go
@@ -8,6 +8,18 @@
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 )
 
+// withheldReason returns why a server gets no attempt at a shard by what it states about itself, or ReasonNone if it may.
+func (s *Session) withheldReason(sh *shard, server *tracker.Server) broker.Reason {
+	switch {
+	case server.HasLeft(s.started.Add(s.now)):
+		return broker.ReasonDraining
+	case !s.hasRoom(sh, server):
+		return broker.ReasonLimited
+	default:
+		return broker.ReasonNone
+	}
+}
+
 // hasRoom returns whether a server takes another attempt at a shard. A server that states a limit gets no hedges, which
 // would take room from requests that have no answer otherwise.
 func (s *Session) hasRoom(sh *shard, server *tracker.Server) bool {
@@ -47,7 +59,7 @@
 func (s *Session) shardRoom(sh *shard) (fit bool, room time.Duration) {
 	now := s.started.Add(s.now)
 	for _, replica := range sh.tracked.Replicas {
-		if s.unfitReason(replica, replica.State()) != broker.ReasonNone {
+		if s.unfitReason(replica, replica.State()) != broker.ReasonNone || replica.HasLeft(now) {
 			continue
 		}
 		wait := replica.RoomIn(now)
--- a/internal/broker/coordination/scatterer/room_test.go
+++ b/internal/broker/coordination/scatterer/room_test.go
@@ -16,7 +16,7 @@
 		stated = epoch.Add(-time.Minute)
 	}
 	record := f.tracker.Server(server)
-	record.ReportNotice(broker.ServerNotice{Limited: true, Limit: 2}, stated)
+	record.ReportNotice(broker.ServerNotice{Limited: true, Limit: 2}, stated, stated)
 	record.HasRoom(stated)
 }
 
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -114,7 +114,7 @@
 	now := s.started.Add(s.now)
 	var best candidate
 	var lowest time.Duration
-	var cold []candidate
+	var cold, leaving []candidate
 	reason := broker.ReasonNoReplica
 	for _, replica := range sh.tracked.Replicas {
 		var found candidate
@@ -125,8 +125,14 @@
 			reason = moreSpecific(reason, broker.ReasonUnreachable)
 			continue
 		}
-		if !s.hasRoom(sh, replica.Server) {
-			reason = moreSpecific(reason, broker.ReasonLimited)
+		if withheld := s.withheldReason(sh, replica.Server); withheld != broker.ReasonNone {
+			reason = moreSpecific(reason, withheld)
+			continue
+		}
+		if replica.Leaving() {
+			if sh.inFlight == 0 {
+				leaving = append(leaving, found)
+			}
 			continue
 		}
 		if replica.RateLimited(now) {
@@ -146,6 +152,11 @@
 		}
 		reason = moreSpecific(reason, broker.ReasonCold)
 	}
+	for _, found := range leaving {
+		if found.server.TakeRoom(now) {
+			return found, broker.ReasonNone
+		}
+	}
 	if best.server != nil {
 		reason = broker.ReasonLimited // another query has taken the room
 	}
--- a/internal/broker/notice.go
+++ b/internal/broker/notice.go
@@ -8,6 +8,8 @@
 	Limited bool `cbor:"1,keyasint,omitempty"`
 	// Limit is the number of requests per second that the server takes from all hosts together.
 	Limit float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving reports whether the server is about to end.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RateShare is the share of a server's request rate that one host may use.
--- a/internal/broker/state/tracker/notices.go
+++ b/internal/broker/state/tracker/notices.go
@@ -12,6 +12,19 @@
 	sentAt time.Time // when the request of the answer was sent
 }
 
+// leavingGrace is how long after a server first stated that it is leaving it may get requests that no other server takes.
+const leavingGrace = 2 * time.Second
+
+// Leaving reports whether the server has stated that it is leaving. That holds until another process has its name,
+// whatever it states later.
+func (s *Server) Leaving() bool { return s.leftAt.Load() != nil }
+
+// HasLeft reports whether the server has stated that it is leaving, and gets no more requests.
+func (s *Server) HasLeft(now time.Time) bool {
+	leftAt := s.leftAt.Load()
+	return leftAt != nil && now.Sub(*leftAt) >= leavingGrace
+}
+
 // Notice returns what the server stated last about itself.
 func (s *Server) Notice() broker.ServerNotice {
 	if received := s.notice.Load(); received != nil {
@@ -20,9 +33,14 @@
 	return broker.ServerNotice{}
 }
 
-// ReportNotice records what the server states in the answer to a request, and returns the notice that it replaces. The
+// ReportNotice records what the server states in the answer, received at now, to a request, and returns the notice that it replaces. The
 // answer to a request that was sent earlier than that of the last notice is out of date, and recorded is false.
-func (s *Server) ReportNotice(notice broker.ServerNotice, sentAt time.Time) (previous broker.ServerNotice, recorded bool) {
+func (s *Server) ReportNotice(
+	notice broker.ServerNotice, sentAt, now time.Time,
+) (previous broker.ServerNotice, recorded bool) {
+	if notice.Leaving {
+		s.leftAt.CompareAndSwap(nil, &now)
+	}
 	for {
 		current := s.notice.Load()
 		if current == nil && notice == (broker.ServerNotice{}) {
--- a/internal/broker/state/tracker/notices_test.go
+++ b/internal/broker/state/tracker/notices_test.go
@@ -24,9 +24,22 @@
 	}
 	server := newServer("s1", &periodEstimator{})
 	for _, tt := range tests {
-		server.ReportNotice(tt.notice, epoch.Add(tt.sentAt))
+		server.ReportNotice(tt.notice, epoch.Add(tt.sentAt), epoch.Add(time.Minute))
 		if got := server.Notice(); got != tt.want {
 			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
 		}
 	}
 }
+
+// TestLeavingServer guards against using a server again because a later answer does not state that it is leaving.
+func TestLeavingServer(t *testing.T) {
+	server := newServer("s1", &periodEstimator{})
+	server.ReportNotice(broker.ServerNotice{Leaving: true}, epoch, epoch)
+	for _, at := range []time.Duration{0, time.Second, time.Minute} {
+		server.ReportNotice(broker.ServerNotice{}, epoch.Add(at), epoch.Add(at))
+		if want := at >= leavingGrace; !server.Leaving() || server.HasLeft(epoch.Add(at)) != want {
+			t.Errorf("after %s: got leaving %v, left %v; want leaving, left %v", at, server.Leaving(),
+				server.HasLeft(epoch.Add(at)), want)
+		}
+	}
+}
--- a/internal/broker/state/tracker/server.go
+++ b/internal/broker/state/tracker/server.go
@@ -34,6 +34,7 @@
 
 	exchanges exchangeStats
 	notice    atomic.Pointer[receivedNotice]
+	leftAt    atomic.Pointer[time.Time] // when the server first stated that it is leaving
 	pacer     pacer
 }
 
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -75,6 +75,11 @@
 	if !ok || !view.Tracked.Table.ServesNewWork(view.Tracked.Table.Server(name)) {
 		return part
 	}
+	if notice := to.server.Notice(); to.server.HasLeft(time.Now()) {
+		notice.Leaving = true
+		part.Reason, part.Notice = broker.ReasonDraining, &notice
+		return part
+	}
 	sub := &broker.SubRequest{RequestID: request.ID, Shard: broker.ShardName(to.instance.Service), Server: name, Attempt: 1}
 	result := f.exchange(ctx, request, sub, to, deadline, true)
 	part.Outcome, part.Reason, part.Sent, part.Latency = result.Outcome, result.Reason, result.sent, result.latency
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -33,6 +33,7 @@
 	logLimiter *logger.Limiter
 	limits     *metrics.Counter
 	rejected   *metrics.Counter
+	leaving    *metrics.Counter
 	malformed  *metrics.Counter
 }
 
@@ -41,21 +42,31 @@
 		logger: log, logLimiter: logger.NewLimiter(noticeLogRate, noticeLogBurst),
 		limits:    set.GetOrCreateCounter("yuccarock_server_limit_changes_total"),
 		rejected:  set.GetOrCreateCounter("yuccarock_requests_rejected_by_limit_total"),
+		leaving:   set.GetOrCreateCounter("yuccarock_servers_leaving_total"),
 		malformed: set.GetOrCreateCounter("yuccarock_server_notices_malformed_total"),
 	}
 }
 
 // report records what a server states in the answer to a request that was sent at sentAt.
 func (n *notices) report(to receiver, notice broker.ServerNotice, sentAt time.Time) {
-	previous, recorded := to.server.ReportNotice(notice, sentAt)
-	if !recorded || previous == notice {
-		return
+	now, wasLeaving := time.Now(), to.server.Leaving()
+	previous, recorded := to.server.ReportNotice(notice, sentAt, now)
+	if notice.Leaving && !wasLeaving {
+		n.leaving.Inc()
+		n.log("server states that it is leaving", to)
 	}
-	n.limits.Inc()
+	if recorded && (previous.Limited != notice.Limited || previous.Limit != notice.Limit) {
+		n.limits.Inc()
+		n.log("server changed its limit", to, "limited", notice.Limited, "limit", notice.Limit,
+			"wasLimited", previous.Limited, "previous", previous.Limit)
+	}
+}
+
+// log writes a line about a server, unless too many have been written.
+func (n *notices) log(message string, to receiver, attributes ...any) {
 	if skipped, ok := n.logLimiter.Allow(time.Now()); ok {
-		n.logger.Info("server changed its limit", "server", to.server.Name, "service", to.instance.Service,
-			"limited", notice.Limited, "limit", notice.Limit, "wasLimited", previous.Limited, "previous", previous.Limit,
-			"skippedLines", skipped)
+		n.logger.Info(message, append([]any{"server", to.server.Name, "service", to.instance.Service,
+			"skippedLines", skipped}, attributes...)...)
 	}
 }
 
