Leave out a server for the time for which it refuses requests

Cause: a server that refused with 503 and Retry-After was asked again as soon as another request chose it.

Until it has passed, this host sends the server nothing, neither for itself nor for another host, which it tells. A shorter pause that follows does not end a longer one.

--- a/internal/broker/coordination/scatterer/room.go
+++ b/internal/broker/coordination/scatterer/room.go
@@ -23,10 +23,10 @@
 // hasRoom returns whether a server takes another attempt at a shard. A server that states a limit gets no hedges, which
 // would take room from requests that have no answer otherwise.
 func (s *Session) hasRoom(sh *shard, server *tracker.Server) bool {
-	if !server.Limited() {
-		return true
+	if server.Limited() && sh.inFlight > 0 {
+		return false
 	}
-	return sh.inFlight == 0 && server.HasRoom(s.started.Add(s.now))
+	return server.HasRoom(s.started.Add(s.now))
 }
 
 // returnRoom gives back the room for an attempt that is not sent.
--- a/internal/broker/notice.go
+++ b/internal/broker/notice.go
@@ -10,6 +10,8 @@
 	Limit float64 `cbor:"2,keyasint,omitempty"`
 	// Leaving reports whether the server is about to end.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is how long the server wants no requests from the host that it answers; zero if it states no time.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // RateShare is the share of a server's request rate that one host may use.
--- a/internal/broker/state/tracker/notices.go
+++ b/internal/broker/state/tracker/notices.go
@@ -25,6 +25,21 @@
 	return leftAt != nil && now.Sub(*leftAt) >= leavingGrace
 }
 
+// Refusal returns why no request may be sent to the server, by what it stated to this host, with a notice that tells
+// another host, or ReasonNone if one may.
+func (s *Server) Refusal(now time.Time) (broker.Reason, broker.ServerNotice) {
+	notice := s.Notice()
+	notice.Leaving, notice.RetryAfter = s.Leaving(), s.pacer.pauseLeft(now)
+	switch {
+	case s.HasLeft(now):
+		return broker.ReasonDraining, notice
+	case notice.RetryAfter > 0:
+		return broker.ReasonLimited, notice
+	default:
+		return broker.ReasonNone, broker.ServerNotice{}
+	}
+}
+
 // Notice returns what the server stated last about itself.
 func (s *Server) Notice() broker.ServerNotice {
 	if received := s.notice.Load(); received != nil {
@@ -41,6 +56,9 @@
 	if notice.Leaving {
 		s.leftAt.CompareAndSwap(nil, &now)
 	}
+	if notice.RetryAfter > 0 {
+		s.pacer.pause(now.Add(notice.RetryAfter))
+	}
 	for {
 		current := s.notice.Load()
 		if current == nil && notice == (broker.ServerNotice{}) {
--- a/internal/broker/state/tracker/pacer.go
+++ b/internal/broker/state/tracker/pacer.go
@@ -22,8 +22,32 @@
 	share      broker.RateShare
 	tokens     float64
 	refilledAt time.Time
+
+	pausedUntil atomic.Pointer[time.Time]
+}
+
+// pause makes the server take no request of this host until a time. A shorter pause does not end a longer one.
+func (p *pacer) pause(until time.Time) {
+	for {
+		current := p.pausedUntil.Load()
+		if current != nil && !until.After(*current) || p.pausedUntil.CompareAndSwap(current, &until) {
+			return
+		}
+	}
+}
+
+// pauseLeft returns how long the server takes no request of this host.
+func (p *pacer) pauseLeft(now time.Time) time.Duration {
+	until := p.pausedUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(until.Sub(now), 0)
 }
 
+// Paused reports whether the server has refused a request of this host and wants none for some time.
+func (s *Server) Paused(now time.Time) bool { return s.pacer.pauseLeft(now) > 0 }
+
 // Limited reports whether the server states a limit.
 func (s *Server) Limited() bool {
 	received := s.notice.Load()
@@ -35,11 +59,14 @@
 
 // RoomIn returns how long until this host may send a request to the server; zero means now.
 func (s *Server) RoomIn(now time.Time) time.Duration {
+	p := &s.pacer
+	if left := p.pauseLeft(now); left > 0 {
+		return left
+	}
 	notice := s.Notice()
 	if !notice.Limited {
 		return 0
 	}
-	p := &s.pacer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refill(s.Name, notice.Limit, now)
@@ -55,11 +82,14 @@
 
 // TakeRoom reports whether this host may send a request to the server now, and counts it against its share.
 func (s *Server) TakeRoom(now time.Time) bool {
+	p := &s.pacer
+	if p.pauseLeft(now) > 0 {
+		return false
+	}
 	notice := s.Notice()
 	if !notice.Limited {
 		return true
 	}
-	p := &s.pacer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refill(s.Name, notice.Limit, now)
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -75,9 +75,8 @@
 	if !ok || !view.Tracked.Table.ServesNewWork(view.Tracked.Table.Server(name)) {
 		return part
 	}
-	if notice := to.server.Notice(); to.server.HasLeft(time.Now()) {
-		notice.Leaving = true
-		part.Reason, part.Notice = broker.ReasonDraining, &notice
+	if reason, notice := to.server.Refusal(time.Now()); reason != broker.ReasonNone {
+		part.Reason, part.Notice = reason, &notice
 		return part
 	}
 	sub := &broker.SubRequest{RequestID: request.ID, Shard: broker.ShardName(to.instance.Service), Server: name, Attempt: 1}
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -34,6 +34,7 @@
 	limits     *metrics.Counter
 	rejected   *metrics.Counter
 	leaving    *metrics.Counter
+	pauses     *metrics.Counter
 	malformed  *metrics.Counter
 }
 
@@ -43,6 +44,7 @@
 		limits:    set.GetOrCreateCounter("yuccarock_server_limit_changes_total"),
 		rejected:  set.GetOrCreateCounter("yuccarock_requests_rejected_by_limit_total"),
 		leaving:   set.GetOrCreateCounter("yuccarock_servers_leaving_total"),
+		pauses:    set.GetOrCreateCounter("yuccarock_server_pauses_total"),
 		malformed: set.GetOrCreateCounter("yuccarock_server_notices_malformed_total"),
 	}
 }
@@ -55,6 +57,10 @@
 		n.leaving.Inc()
 		n.log("server states that it is leaving", to)
 	}
+	if notice.RetryAfter > 0 {
+		n.pauses.Inc()
+		n.log("server wants no requests for a time", to, "forMs", notice.RetryAfter.Milliseconds())
+	}
 	if recorded && (previous.Limited != notice.Limited || previous.Limit != notice.Limit) {
 		n.limits.Inc()
 		n.log("server changed its limit", to, "limited", notice.Limited, "limit", notice.Limit,
