Keep a suspect request for a minute after its last crash

Callers saw: a request that crashes servers and comes again every 30 s or more was never quarantined.

Cause: a suspect expired a minute after its first crash, so that three crashes had to fall into one minute.

Change: the minute is counted from the last counted crash. What counts and what clears it stays.

Evidence: TestSpreadCrashes, without the change: three crashes 59 s apart leave a suspect, want quarantined.

--- a/internal/broker/coordination/quarantiner/quarantiner.go
+++ b/internal/broker/coordination/quarantiner/quarantiner.go
@@ -45,7 +45,7 @@
 
 // Options are the limits of the set.
 type Options struct {
-	SuspectTTL    time.Duration // how long a suspect is kept
+	SuspectTTL    time.Duration // how long a suspect is kept after its last crash
 	QuarantineTTL time.Duration // how long a quarantined fingerprint is kept
 	TrialTimeout  time.Duration // how long after its start a trial run without a result counts as ended
 	MaxEntries    int           // maximum number of fingerprints
@@ -329,11 +329,14 @@
 }
 
 func (q *Quarantiner) expired(e *entry, now time.Time) bool {
-	kept := q.options.SuspectTTL
 	if e.quarantined {
-		kept = q.options.QuarantineTTL
+		return now.Sub(e.since) >= q.options.QuarantineTTL
 	}
-	return now.Sub(e.since) >= kept
+	last := e.since
+	if e.lastCrash.After(last) {
+		last = e.lastCrash
+	}
+	return now.Sub(last) >= q.options.SuspectTTL
 }
 
 // evict removes expired entries and then the oldest ones, suspects first, until the set has at most MaxEntries; keep is
--- a/internal/broker/coordination/quarantiner/quarantiner_test.go
+++ b/internal/broker/coordination/quarantiner/quarantiner_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// TestSpreadCrashes guards against a request that is never quarantined because its crashes are far apart.
+func TestSpreadCrashes(t *testing.T) {
+	ttl := DirectOptions().SuspectTTL
+	tests := []struct {
+		pause time.Duration // between two crashes
+		want  State
+	}{
+		{ttl / 3, Quarantined},
+		{ttl - time.Second, Quarantined},
+		{ttl, Suspect},
+	}
+	for _, tt := range tests {
+		q := New(DirectOptions())
+		var got State
+		for i, server := range []broker.ServerName{"a1", "a2", "a3"} {
+			got = q.Report(report(server, false), epoch.Add(time.Duration(i)*tt.pause))
+		}
+		if got != tt.want {
+			t.Errorf("three crashes, %s apart: got %v, want %v", tt.pause, got, tt.want)
+		}
+	}
+}
+
 // TestSimultaneousTrials guards against two nodes that both run a suspect because each claimed the trial run before it
 // learned of the other's claim.
 func TestSimultaneousTrials(t *testing.T) {
