Model servers that state a limit, against the number of hosts

'yuccarock model limits' plays the divider and the pacing of hosts in virtual time, with hosts that are replaced and learn of each other late.

--- a/cmd/model.go
+++ b/cmd/model.go
@@ -28,7 +28,8 @@
 			&cli.Uint64Flag{Name: "first", Usage: "first `SEED`", Value: 1},
 			&cli.StringFlag{Name: "report", Usage: "write an HTML page with plots to `FILE`"},
 		},
-		Action: runModel,
+		Commands: []*cli.Command{newModelLimits()},
+		Action:   runModel,
 	}
 }
 
--- a/internal/modeler/modeler_test.go
+++ b/internal/modeler/modeler_test.go
@@ -158,3 +158,15 @@
 		t.Errorf("plots: got %d, want 3", got)
 	}
 }
+
+// TestSimulateLimit guards against a server that gets more than it states that it takes, and against a limit of which
+// nothing is used, while hosts are replaced.
+func TestSimulateLimit(t *testing.T) {
+	for _, c := range LimitCases([]int{7, 30}) {
+		got := SimulateLimit(c, 1)
+		if got.WorstWindow > got.Allowed || got.Used == 0 {
+			t.Errorf("%+v: got %d requests in %s and %.2f used, want at most %d and some", c, got.WorstWindow, limitWindow,
+				got.Used, got.Allowed)
+		}
+	}
+}
