--- a/internal/broker/coordination/divider/divider_test.go
+++ b/internal/broker/coordination/divider/divider_test.go
@@ -64,12 +64,12 @@
 					paced := make([]*tracker.Server, hosts)
 					for i, name := range names {
 						_, paced[i] = pacedHost(New(name, names), rate, started)
-						paced[i].TakeRoom(started)
+						paced[i].TakeToken(started)
 					}
 					var sent []time.Time
 					for now := started.Add(idle); now.Before(started.Add(day)); now = now.Add(step) {
 						for _, host := range paced {
-							if host.TakeRoom(now) {
+							if host.TakeToken(now) {
 								sent = append(sent, now)
 							}
 						}
@@ -113,7 +113,7 @@
 				if elapsed%(500*time.Millisecond) == 0 {
 					tracks[i].SetRateDivider(New(name, serving))
 				}
-				if paced[i].TakeRoom(now) {
+				if paced[i].TakeToken(now) {
 					sent = append(sent, now)
 				}
 			}
--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -220,7 +220,7 @@
 	// planned handover a share of all attempts is refused.
 	exempt := outcome == broker.OutcomeNotRun && tryOtherOwner(reason)
 	if !exempt && !s.takeRetryToken(sh) {
-		s.returnRoom(chosen)
+		s.returnToken(chosen)
 		s.stats.RetriesDenied++
 		return false
 	}
--- a/internal/broker/coordination/scatterer/room_test.go
+++ b/internal/broker/coordination/scatterer/availability_test.go
@@ -8,26 +8,26 @@
 	"github.com/yuccarock/yuccarock/internal/broker"
 )
 
-// setRoom makes a server state a limit of two requests a second, of which this host may use all. Without room, it may
+// setLimit makes a server state a limit of two requests a second, of which this host may use all. Without a token, it may
 // send the next one after 500 ms.
-func setRoom(f *fixture, server broker.ServerName, room bool) {
+func setLimit(f *fixture, server broker.ServerName, available bool) {
 	stated := epoch
-	if room {
+	if available {
 		stated = epoch.Add(-time.Minute)
 	}
 	record := f.tracker.Server(server)
 	record.ReportNotice(broker.ServerNotice{Limited: true, Limit: 2}, stated, stated)
-	record.HasRoom(stated)
+	record.Available(stated)
 }
 
-// TestRoom guards against queries that take the room of some servers and then fail for want of others, and against ones
+// TestLackOfServers guards against queries that use the limits of some servers and then fail for want of others, and against ones
 // that wait although too few servers take them.
-func TestRoom(t *testing.T) {
+func TestLackOfServers(t *testing.T) {
 	tests := []struct {
 		name     string
 		full     int // shards, of four, whose servers take no request now; two are needed
 		wantSent int
-		wantRoom time.Duration
+		wantWait time.Duration
 	}{
 		{"all take it", 0, 4, 0},
 		{"enough take it", 2, 2, 0},
@@ -39,7 +39,7 @@
 			f := directFixture(4)
 			for i := range 4 {
 				for _, replica := range []string{"a", "b"} {
-					setRoom(f, broker.ServerName(fmt.Sprintf("s%d%s", i, replica)), i >= tt.full)
+					setLimit(f, broker.ServerName(fmt.Sprintf("s%d%s", i, replica)), i >= tt.full)
 				}
 			}
 			s, actions := startDirect(f, Strategy{MaxAttempts: 2, Target: time.Second})
@@ -53,22 +53,22 @@
 			if rejected && actions.Finish.Reason != broker.ReasonLimited {
 				t.Errorf("reason: got %q, want %q", actions.Finish.Reason, broker.ReasonLimited)
 			}
-			if got := s.RoomIn(); got != tt.wantRoom {
-				t.Errorf("time until there is room: got %s, want %s", got, tt.wantRoom)
+			if got := s.AvailableIn(); got != tt.wantWait {
+				t.Errorf("time until servers are available: got %s, want %s", got, tt.wantWait)
 			}
-			if rejected && tt.full < 4 && !f.tracker.Server("s3a").HasRoom(epoch) {
-				t.Error("the rejected query has taken the room of a server")
+			if rejected && tt.full < 4 && !f.tracker.Server("s3a").Available(epoch) {
+				t.Error("the rejected query has used the limit of a server")
 			}
 		})
 	}
 }
 
-// TestRoomOfFurtherAttempts guards against hedges to servers that state a limit, and against room that is lost for a
+// TestLimitsOfFurtherAttempts guards against hedges to servers that state a limit, and against a token that is lost for a
 // retry that the budget denies.
-func TestRoomOfFurtherAttempts(t *testing.T) {
+func TestLimitsOfFurtherAttempts(t *testing.T) {
 	f := directFixture(1)
-	setRoom(f, "s0a", true)
-	setRoom(f, "s0b", true)
+	setLimit(f, "s0a", true)
+	setLimit(f, "s0b", true)
 	s, actions := startDirect(f, Strategy{MaxAttempts: 2, Target: 100 * time.Millisecond})
 	s.Wake(epoch.Add(60 * time.Millisecond))
 	if got := s.Stats().Sent; got != 1 {
@@ -81,11 +81,11 @@
 	answer := NotSent(first)
 	answer.Outcome, answer.Reason = broker.OutcomeNotRun, broker.ReasonShed
 	s.Answer(epoch.Add(70*time.Millisecond), &answer)
-	room := 0
-	for other.TakeRoom(epoch.Add(70 * time.Millisecond)) {
-		room++
+	tokens := 0
+	for other.TakeToken(epoch.Add(70 * time.Millisecond)) {
+		tokens++
 	}
-	if want := 2; s.Stats().RetriesDenied != 1 || room != want {
-		t.Errorf("room after %d denied retries: got %d, want %d", s.Stats().RetriesDenied, room, want)
+	if want := 2; s.Stats().RetriesDenied != 1 || tokens != want {
+		t.Errorf("tokens after %d denied retries: got %d, want %d", s.Stats().RetriesDenied, tokens, want)
 	}
 }
--- a/internal/broker/coordination/scatterer/plan.go
+++ b/internal/broker/coordination/scatterer/plan.go
@@ -204,7 +204,7 @@
 		return
 	}
 	if !s.takeHedgeToken(sh, s.now-sh.attempts[sh.firstInFlight()].sent, delay) {
-		s.returnRoom(chosen)
+		s.returnToken(chosen)
 		s.stats.HedgesDenied++
 		s.scheduleHedge(i, delay/hedgeRecheckDivisor)
 		return
--- a/internal/broker/coordination/scatterer/session.go
+++ b/internal/broker/coordination/scatterer/session.go
@@ -166,7 +166,7 @@
 		return s.endEvent()
 	}
 	s.snapshot = s.bestSnapshot(0).Snapshot
-	if s.lacksRoom() {
+	if s.lacksServers() {
 		s.stopUnanswered(broker.ReasonLimited)
 		return s.endEvent()
 	}
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -143,22 +143,22 @@
 			best, lowest = found, expected
 		}
 	}
-	if best.server != nil && best.server.TakeRoom(now) {
+	if best.server != nil && best.server.TakeToken(now) {
 		return best, broker.ReasonNone
 	}
 	for _, found := range cold {
-		if found.server.TakeColdToken(now) && found.server.TakeRoom(now) {
+		if found.server.TakeColdToken(now) && found.server.TakeToken(now) {
 			return found, broker.ReasonNone
 		}
 		reason = moreSpecific(reason, broker.ReasonCold)
 	}
 	for _, found := range leaving {
-		if found.server.TakeRoom(now) {
+		if found.server.TakeToken(now) {
 			return found, broker.ReasonNone
 		}
 	}
 	if best.server != nil {
-		reason = broker.ReasonLimited // another query has taken the room
+		reason = broker.ReasonLimited // another query has taken the token
 	}
 	return candidate{}, reason
 }
--- a/internal/broker/state/tracker/pacer.go
+++ b/internal/broker/state/tracker/pacer.go
@@ -54,11 +54,11 @@
 	return received != nil && received.Limited
 }
 
-// HasRoom reports whether this host may send a request to the server now.
-func (s *Server) HasRoom(now time.Time) bool { return s.RoomIn(now) == 0 }
+// Available reports whether this host may send a request to the server now.
+func (s *Server) Available(now time.Time) bool { return s.AvailableIn(now) == 0 }
 
-// RoomIn returns how long until this host may send a request to the server; zero means now.
-func (s *Server) RoomIn(now time.Time) time.Duration {
+// AvailableIn returns how long until this host may send a request to the server; zero means now.
+func (s *Server) AvailableIn(now time.Time) time.Duration {
 	p := &s.pacer
 	if left := p.pauseLeft(now); left > 0 {
 		return left
@@ -80,8 +80,8 @@
 	}
 }
 
-// TakeRoom reports whether this host may send a request to the server now, and counts it against its share.
-func (s *Server) TakeRoom(now time.Time) bool {
+// TakeToken reports whether this host may send a request to the server now, and counts it against its share.
+func (s *Server) TakeToken(now time.Time) bool {
 	p := &s.pacer
 	if p.pauseLeft(now) > 0 {
 		return false
@@ -100,8 +100,8 @@
 	return true
 }
 
-// ReturnRoom undoes TakeRoom for a request that was not sent.
-func (s *Server) ReturnRoom() {
+// ReturnToken undoes TakeToken for a request that was not sent.
+func (s *Server) ReturnToken() {
 	p := &s.pacer
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -74,7 +74,7 @@
 		return
 	}
 	deadline := started.Add(requestTimeout(request, entry.Route))
-	if !entry.Idempotent && f.lastCall.before(deadline) {
+	if !entry.Idempotent && f.cutoff.before(deadline) {
 		// The answer might come too late to be passed on, and the request must not run again.
 		f.refuse(w, r, request.ID,
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,7 +104,7 @@
 	requestLogLimiter *logger.Limiter // limits the log lines of requests that were refused, slow or had failed attempts
 
 	drainer    *drainer.Drainer
-	lastCall   *lastCall
+	cutoff     *cutoff
 	tracker    *tracker.Tracker
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
@@ -141,7 +141,7 @@
 		probeNow: make(chan struct{}, 1),
 	}
 	f.reloadable.Store(&deps.Settings)
-	f.lastCall = newLastCall()
+	f.cutoff = newCutoff()
 	f.drainer = drainer.New(func(from, to string) {
 		f.logger.Info("node state changed", "from", from, "to", to)
 	})
@@ -242,7 +242,7 @@
 	end := time.Now().Add(f.reloadable.Load().StopDeadline)
 	ctx, cancel := context.WithDeadline(force, end)
 	defer cancel()
-	defer f.lastCall.schedule(end)()
+	defer f.cutoff.schedule(end)()
 	f.awaitQuiet(ctx)
 	_ = callers.listener.Close()
 	f.drainer.Refuse()
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -17,11 +17,11 @@
 	noticeLogBurst = 50
 )
 
-// maxLimitRetry is the longest time that callers are asked to wait for room at servers that state a limit.
+// maxLimitRetry is the longest time that callers are asked to wait for servers that state a limit.
 const maxLimitRetry = 5 * time.Second
 
 // spreadRetry returns when a caller should retry that was rejected because servers take no request for the time wait.
-// Random, from 0 to 1, spreads the callers over the time in which as much room comes back again.
+// Random, from 0 to 1, spreads the callers over the time in which as many requests can be taken again.
 func spreadRetry(wait time.Duration, random float64) time.Duration {
 	wait = min(max(wait, noServerRetry), maxLimitRetry/2)
 	return wait + time.Duration(random*float64(wait))
--- a/internal/forwarder/notices_test.go
+++ b/internal/forwarder/notices_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// TestSpreadRetry guards against callers that return before servers have room, all at once, or later than they wait.
+// TestSpreadRetry guards against callers that return before servers take requests, all at once, or later than they wait.
 func TestSpreadRetry(t *testing.T) {
 	tests := []struct {
 		wait                  time.Duration
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -111,7 +111,7 @@
 			s.process(ctx, &arrived)
 		case <-s.timer.C:
 			s.applyActions(ctx, s.scatter.Wake(time.Now()))
-		case <-s.forwarder.lastCall.due:
+		case <-s.forwarder.cutoff.reached:
 			s.applyActions(ctx, s.scatter.Expire(time.Now()))
 		case <-ctx.Done():
 			s.callerGone = true
@@ -221,7 +221,7 @@
 		return noServerRetry
 	}
 	s.forwarder.notices.rejected.Inc()
-	return spreadRetry(s.scatter.RoomIn(), rand.Float64())
+	return spreadRetry(s.scatter.AvailableIn(), rand.Float64())
 }
 
 // log writes a line for a request that was late, incomplete or had failed attempts.
--- a/internal/modeler/limits.go
+++ b/internal/modeler/limits.go
@@ -49,8 +49,8 @@
 	Used float64
 	// WorstWindow is the most requests in limitWindow of hosts that knew of the limit, and Allowed how many it may be.
 	WorstWindow, Allowed int
-	// Unknowing is the number of requests of hosts that did not know of the limit yet.
-	Unknowing int
+	// Uninformed is the number of requests of hosts that did not know of the limit yet.
+	Uninformed int
 }
 
 // LimitCases returns the cases for the given numbers of hosts: low and high limits, below and above the load.
@@ -97,10 +97,10 @@
 	hosts  []*limitHost // those that serve, and as many as ever replace one
 	first  int          // position of the first serving host
 	// sent are the times of requests to the server of hosts that knew of the limit.
-	sent      []time.Duration
-	unknowing int // requests to the server of other hosts
-	measured  int // requests to the server in the measured time
-	arrived   int // requests of callers in the measured time
+	sent       []time.Duration
+	uninformed int // requests to the server of other hosts
+	measured   int // requests to the server in the measured time
+	arrived    int // requests of callers in the measured time
 }
 
 // SimulateLimit simulates a day with one seed.
@@ -122,7 +122,7 @@
 	s.sent = slices.DeleteFunc(s.sent, func(at time.Duration) bool { return at < limitSettling })
 	return LimitResult{
 		LimitCase: c, Used: float64(s.measured) / max(possible, 1), WorstWindow: worstWindow(s.sent),
-		Allowed: int(limitTolerance*c.Limit*limitWindow.Seconds() + limitSlack), Unknowing: s.unknowing,
+		Allowed: int(limitTolerance*c.Limit*limitWindow.Seconds() + limitSlack), Uninformed: s.uninformed,
 	}
 }
 
@@ -133,14 +133,14 @@
 	}
 	host := s.hosts[s.first+s.random.IntN(s.Hosts)]
 	sentAt := s.clock.time()
-	if host.server.TakeRoom(sentAt) {
+	if host.server.TakeToken(sentAt) {
 		if s.clock.now >= limitSettling {
 			s.measured++
 		}
 		if host.knowsAt > 0 && s.clock.now >= host.knowsAt {
 			s.sent = append(s.sent, s.clock.now)
 		} else {
-			s.unknowing++
+			s.uninformed++
 		}
 		s.clock.after(limitAnswerTime, func() {
 			if host.knowsAt == 0 {
@@ -184,7 +184,7 @@
 	_, _ = fmt.Fprintln(table, "hosts\tlimit a second\tload\tused\tworst window\tallowed\tunknowing\t")
 	for _, r := range results {
 		_, _ = fmt.Fprintf(table, "%d\t%.1f\t%.1f\t%.2f\t%d\t%d\t%d\t\n", r.Hosts, r.Limit, r.Load, r.Used, r.WorstWindow, r.Allowed,
-			r.Unknowing)
+			r.Uninformed)
 	}
 	return table.Flush()
 }
