--- a/internal/broker/coordination/divider/divider.go
+++ b/internal/broker/coordination/divider/divider.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// Each sender of a server may send one request at any time. Their number is limited to sendersPerRate times the rate
-	// plus minSenders, so that the requests of all at one moment stay near the rate of some seconds.
+	// The senders of a server are the hosts that have a share of its rate. Each may send one request at any time, so that
+	// there are at most sendersPerRate times the rate plus minSenders, about two seconds of the rate if all send at once.
 	sendersPerRate = 2
 	minSenders     = 3
 	// burstTime is the time of its share that a sender may use up at once.
--- a/internal/broker/coordination/scatterer/availability.go
+++ b/internal/broker/coordination/scatterer/availability.go
@@ -37,8 +37,8 @@
 }
 
 // lacksServers returns whether the servers of too many shards take no request now, so that the query cannot reach its
-// minimum coverage. Such a query is rejected before it uses the limit of any server: if each shard refused on its own, most
-// queries would use up limits and fail all the same.
+// minimum coverage. Such a query is rejected before it uses the limit of any server: if each shard refused on its own,
+// most queries would use up limits and fail all the same.
 func (s *Session) lacksServers() bool {
 	if !s.strategy.Direct || !s.anyRestricted() {
 		return false
--- a/internal/broker/coordination/scatterer/availability_test.go
+++ b/internal/broker/coordination/scatterer/availability_test.go
@@ -20,8 +20,8 @@
 	record.Available(stated)
 }
 
-// TestLackOfServers guards against queries that use the limits of some servers and then fail for want of others, and against ones
-// that wait although too few servers take them.
+// TestLackOfServers guards against queries that use the limits of some servers and then fail for want of others, and
+// against ones that wait although too few servers take them.
 func TestLackOfServers(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/broker/state/tracker/notices.go
+++ b/internal/broker/state/tracker/notices.go
@@ -48,8 +48,8 @@
 	return broker.ServerNotice{}
 }
 
-// ReportNotice records what the server states in the answer, received at now, to a request, and returns the notice that it replaces. The
-// answer to a request that was sent earlier than that of the last notice is out of date, and recorded is false.
+// ReportNotice records what the server states in the answer, received at now, to a request that was sent at sentAt, and
+// returns the notice that it replaces. If that is of a request that was sent later, it stays and recorded is false.
 func (s *Server) ReportNotice(
 	notice broker.ServerNotice, sentAt, now time.Time,
 ) (previous broker.ServerNotice, recorded bool) {
