Count an outage of a server only once it has answered again

A crashed server, or what stands before it, accepts some connections and refuses others, so that one crash gave several processes, and three of these quarantined a request that crashes nothing; callers that sent equal requests were refused for ten minutes.

Change: an outage is counted when the server answers a request after a failed dial.

Ruled out: waiting for a time without a connection, which a proxy can break as well.

--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -94,8 +94,8 @@
 	// Reason is the reason why there is no answer.
 	Reason Reason
 	Err    error
-	// Outages is the number of outages of the server, as seen by this host, before the connection of the request was
-	// opened. It is set if there is no answer. Requests with different numbers went to different processes.
+	// Outages is how often, as seen by this host, the server had been out of reach and had answered again before the
+	// request. It is set if there is no answer. Requests with different numbers went to different processes.
 	Outages int
 }
 
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -33,8 +33,6 @@
 	writer *bufio.Writer
 	reused bool // has carried a request, or was opened as an idle connection
 	used   bool // has carried a request
-	// outages is the number of outages of the server before the connection was opened.
-	outages int
 
 	idleTimeout time.Duration // idle time after which the connection is not reused; zero for no limit
 	idleSince   time.Time
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -34,7 +34,7 @@
 	sent   bool // a byte of the request may have left this host
 	reused bool // the last connection had carried another request or was opened as an idle one
 
-	outages int // outages of the server before the last connection was opened
+	outages int // outages of the server that had ended before the last attempt
 
 	bytesSent, bytesReceived int // on all connections
 }
@@ -49,7 +49,7 @@
 
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
-	e.reused, e.outages = c.reused, c.outages
+	e.reused, e.outages = c.reused, p.pastOutages()
 	c.startRequest(e.permit, maxHeaderBytes)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
@@ -70,6 +70,7 @@
 		p.release(c)
 	}
 	if err == nil {
+		p.recordAnswer()
 		return answer, nil
 	}
 	if kindOf(err) == KindSilent {
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -40,8 +40,8 @@
 	waiters      []chan struct{}
 	redialAt     time.Time // no idle connections are opened before this time
 	silentInARow int       // silent exchanges since the last successful one on a reused connection
-	unreachable  bool      // the last dial failed
-	outages      int       // times that a dial failed after one that had not
+	unreachable  bool      // a dial has failed since the last answer
+	outages      int       // times that the server has answered again after a failed dial
 }
 
 // acquire returns a connection for exclusive use and waits for one while the limit is reached. With fresh set, it
@@ -131,10 +131,7 @@
 	if err != nil {
 		p.mu.Lock()
 		p.redialAt = time.Now().Add(redialDelay)
-		if !p.unreachable {
-			p.unreachable = true
-			p.outages++
-		}
+		p.unreachable = true
 		p.mu.Unlock()
 		p.connClosed()
 		p.counters.dialsFailed.Inc()
@@ -142,12 +139,25 @@
 			Err: errors.Wrap(broker.ErrUnreachable, err.Error())}
 	}
 	p.counters.opened.Inc()
-	c := newConn(socket)
+	return newConn(socket), nil
+}
+
+// recordAnswer ends an outage of the server. A connection that it accepts does not: a process that has just crashed, or
+// something before it, may accept some connections and refuse others.
+func (p *pool) recordAnswer() {
 	p.mu.Lock()
-	p.unreachable = false
-	c.outages = p.outages
-	p.mu.Unlock()
-	return c, nil
+	defer p.mu.Unlock()
+	if p.unreachable {
+		p.unreachable = false
+		p.outages++
+	}
+}
+
+// pastOutages returns how many outages of the server have ended.
+func (p *pool) pastOutages() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outages
 }
 
 // release makes a connection idle, or discards it if none are to be kept or the limit is exceeded.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,7 +32,7 @@
 	answer  *broker.OpaqueAnswer // nil if no complete answer was received
 	sent    bool                 // whether any byte of the request may have reached the server
 	latency time.Duration
-	outages int                  // of the server before its connection was opened, if it was lost
+	outages int                  // of the server before the request, if its connection was lost
 	notice  *broker.ServerNotice // nil if the server did not answer
 }
 
