Let few of the hosts in standby use a server's limit

Cause: a host that serves no callers could use a quarter of a serving host's share.

Evidence: TestRateWithManyStandbyHosts plays 3 serving hosts and 88 others; it fails if all of them are senders.

--- a/internal/broker/coordination/divider/divider_test.go
+++ b/internal/broker/coordination/divider/divider_test.go
@@ -63,7 +63,7 @@
 					}
 					paced := make([]*tracker.Server, hosts)
 					for i, name := range names {
-						_, paced[i] = pacedHost(New(name, names), rate, started)
+						_, paced[i] = pacedHost(New(name, names, nil), rate, started)
 						paced[i].TakeToken(started)
 					}
 					var sent []time.Time
@@ -97,7 +97,7 @@
 		tracks := make([]*tracker.Tracker, len(names))
 		paced := make([]*tracker.Server, len(names))
 		for i, name := range names {
-			tracks[i], paced[i] = pacedHost(New(name, names[:3]), rate, started)
+			tracks[i], paced[i] = pacedHost(New(name, names[:3], names[3:]), rate, started)
 		}
 		var sent []time.Time
 		for now := started; now.Before(started.Add(day)); now = now.Add(step) {
@@ -110,8 +110,9 @@
 					serving = append(serving, names[(round+k)%len(names)])
 				}
 				slices.Sort(serving)
+				standby := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(serving, n) })
 				if elapsed%(500*time.Millisecond) == 0 {
-					tracks[i].SetRateDivider(New(name, serving))
+					tracks[i].SetRateDivider(New(name, serving, standby))
 				}
 				if paced[i].TakeToken(now) {
 					sent = append(sent, now)
@@ -123,3 +124,37 @@
 		}
 	}
 }
+
+// TestRateWithManyStandbyHosts guards against hosts in standby, of which a large system has many, that exceed a rate
+// together because each of them gets a request now and then.
+func TestRateWithManyStandbyHosts(t *testing.T) {
+	const day, step = 70 * time.Second, 20 * time.Millisecond
+	var serving, standby []string
+	for i := range 91 {
+		name := fmt.Sprintf("host-%02d", i)
+		if i < 3 {
+			serving = append(serving, name)
+		} else {
+			standby = append(standby, name)
+		}
+	}
+	for _, rate := range []float64{0, 1.2, 4.4, 8.3, 24.2} {
+		started := time.Unix(1_800_000_010, 0)
+		var paced []*tracker.Server
+		for _, name := range slices.Concat(serving, standby) {
+			_, host := pacedHost(New(name, serving, standby), rate, started)
+			paced = append(paced, host)
+		}
+		var sent []time.Time
+		for now := started; now.Before(started.Add(day)); now = now.Add(step) {
+			for _, host := range paced {
+				if host.TakeToken(now) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		if got, want := worstWindow(sent), allowed(rate); got > want {
+			t.Errorf("rate %v: requests in %s: got %d, want at most %d", rate, window, got, want)
+		}
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -120,10 +120,9 @@
 	notices    *notices
 	feeds      feeds
 	lifetime   addressLifetime
-	// dividedAmong are the names of the hosts among which the rates of servers are divided.
-	dividedAmong atomic.Pointer[[]string]
-	probeNow     chan struct{} // receives when the registered hosts have changed
-	tasks        sync.WaitGroup
+	divided    atomic.Pointer[dividedHosts]
+	probeNow   chan struct{} // receives when the registered hosts have changed
+	tasks      sync.WaitGroup
 
 	contact     atomic.Pointer[storeContact]
 	reloadable  atomic.Pointer[Settings] // settings as last reloaded
@@ -398,19 +397,30 @@
 	}))
 }
 
-// divideRates divides the rates that servers state among the hosts that serve callers.
+// divideRates divides the rates that servers state among the hosts.
 func (f *Forwarder) divideRates(serving []broker.HostRecord) {
 	names := make([]string, len(serving))
 	for i := range serving {
 		names[i] = serving[i].Name
 	}
 	slices.Sort(names)
-	if current := f.dividedAmong.Load(); current == nil || !slices.Equal(*current, names) {
-		f.dividedAmong.Store(&names)
-		f.tracker.SetRateDivider(divider.New(f.settings.Node, names))
+	var standby []string
+	for _, host := range append(f.prober.Known(), f.ownRecord()) {
+		if !slices.Contains(names, host.Name) {
+			standby = append(standby, host.Name)
+		}
+	}
+	slices.Sort(standby)
+	current := f.divided.Load()
+	if current == nil || !slices.Equal(current.serving, names) || !slices.Equal(current.standby, standby) {
+		f.divided.Store(&dividedHosts{names, standby})
+		f.tracker.SetRateDivider(divider.New(f.settings.Node, names, standby))
 	}
 }
 
+// dividedHosts are the names of the hosts among which the rates of servers are divided.
+type dividedHosts struct{ serving, standby []string }
+
 // ownRole returns the role of this host, given the serving hosts and the delegates of zones without one.
 func (f *Forwarder) ownRole(serving, helping []broker.HostRecord) registrar.Role {
 	self := func(host broker.HostRecord) bool { return host.Name == f.settings.Node }
--- a/internal/modeler/limits.go
+++ b/internal/modeler/limits.go
@@ -85,7 +85,7 @@
 		}},
 	}))
 	h.server = h.tracker.Server(limitedServer)
-	h.tracker.SetRateDivider(divider.New(name, serving))
+	h.tracker.SetRateDivider(divider.New(name, serving, nil))
 	return h
 }
 
@@ -161,7 +161,7 @@
 		serving[i] = s.hosts[s.first+i].name
 	}
 	for _, host := range s.hosts {
-		s.clock.after(host.learnIn, func() { host.tracker.SetRateDivider(divider.New(host.name, serving)) })
+		s.clock.after(host.learnIn, func() { host.tracker.SetRateDivider(divider.New(host.name, serving, nil)) })
 	}
 	s.clock.after(replacePeriod, s.replaceHost)
 }
