--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -49,7 +49,7 @@
 
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
-	e.reused, e.outages = c.reused, p.pastOutages()
+	e.reused, e.outages = c.reused, int(p.outages.Load())
 	c.startRequest(e.permit, maxHeaderBytes)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e)
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,8 +41,9 @@
 	waiters      []chan struct{}
 	redialAt     time.Time // no idle connections are opened before this time
 	silentInARow int       // silent exchanges since the last successful one on a reused connection
-	unreachable  bool      // a dial has failed since the last answer
-	outages      int       // times that the server has answered again after a failed dial
+
+	unreachable atomic.Bool  // a dial has failed since the last answer
+	outages     atomic.Int64 // times that the server has answered again after a failed dial
 }
 
 // acquire returns a connection for exclusive use and waits for one while the limit is reached. With fresh set, it
@@ -131,8 +133,8 @@
 	if err != nil {
 		p.mu.Lock()
 		p.redialAt = time.Now().Add(redialDelay)
-		p.unreachable = true
 		p.mu.Unlock()
+		p.unreachable.Store(true)
 		p.connClosed()
 		p.counters.dialsFailed.Inc()
 		return nil, &Error{Op: "open connection", Kind: KindUnreachable,
@@ -145,21 +147,11 @@
 // recordAnswer ends an outage of the server. A connection that it accepts does not: a process that has just crashed, or
 // something before it, may accept some connections and refuse others.
 func (p *pool) recordAnswer() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.unreachable {
-		p.unreachable = false
-		p.outages++
+	if p.unreachable.Load() && p.unreachable.CompareAndSwap(true, false) {
+		p.outages.Add(1)
 	}
 }
 
-// pastOutages returns how many outages of the server have ended.
-func (p *pool) pastOutages() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.outages
-}
-
 // release makes a connection idle, or discards it if none are to be kept or the limit is exceeded.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
