Let a new incarnation exclude nobody until its links had time to come up

Cause: a member that rejoins inherits when its predecessor last heard each peer, so that a lost host is not taken for a live one. After several rejoins within 2 s (a zone taken out and in five times on a busy machine) a healthy peer that had not linked to any of the short-lived incarnations counted as silent, and the new incarnation excluded it 50 ms after it had joined. All its servers changed owner, and searches of about 100 ms were answered with insufficientCoverage, unreachable.

Change: a member excludes silent peers only once it has been a member for the silence timeout. Peers learn of a new incarnation from the member list and dial it after that. Its count of reachable members is unchanged.

Also weighed: not to inherit the time at all, which restarts the 30 s after which a lost host counts as gone.

Result: TestSilenceAfterRejoins fails without the change (excluded in the third incarnation).

--- a/internal/broker/coordination/leaser/core.go
+++ b/internal/broker/coordination/leaser/core.go
@@ -59,6 +59,7 @@
 
 	membership    broker.Membership
 	member        bool
+	memberSince   time.Time            // when this incarnation became a member, or zero
 	unconfirmed   []broker.PastMembers // earlier generations not known to have ended
 	confirmed     bool
 	confirmedAt   time.Time
--- a/internal/broker/coordination/leaser/generation.go
+++ b/internal/broker/coordination/leaser/generation.go
@@ -115,6 +115,9 @@
 	c.membership = m
 	c.confirmed, c.leaseGranted = false, false
 	c.member = c.isMember(c.self.ID)
+	if c.member && c.memberSince.IsZero() {
+		c.memberSince = now
+	}
 	wanted := func(id broker.NodeID) bool {
 		return c.isMember(id) ||
 			slices.ContainsFunc(c.unconfirmed, func(p broker.PastMembers) bool { return containsMember(p.Members, id) })
--- a/internal/broker/coordination/leaser/rules_test.go
+++ b/internal/broker/coordination/leaser/rules_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// TestSilenceAfterRejoins guards against a member that rejoins several times within the silence timeout and then
+// excludes a healthy one, whose link to each of its incarnations had yet to come up.
+func TestSilenceAfterRejoins(t *testing.T) {
+	h := newHarness(t, "a", "b", "c")
+	timeout := h.core.settings.SilenceTimeout
+	h.advance(time.Second, 1, nil, "a", "c")
+	for i, self := range []broker.NodeID{"b1", "b2", "b3", "b4"} {
+		previous := h.core
+		h.core = New(DefaultSettings(), memberList(self)[0], h.now)
+		h.core.InheritObservations(previous)
+		generation := broker.Generation(2 + i)
+		h.step(AdoptMembership{Membership: nextGeneration(generation, "a", self, "c")})
+		h.advance(timeout/3, generation, nil, "c")
+		if h.core.isExcluded("a") {
+			t.Fatalf("incarnation %s: a is excluded within %s of joining, want it kept", self, timeout/3)
+		}
+	}
+	h.advance(timeout, 5, nil, "c")
+	if !h.core.isExcluded("a") {
+		t.Errorf("got a kept although it stayed silent for %s, want it excluded", timeout)
+	}
+}
+
 // TestLateReleaseToLeavingMember guards against a leaving member that excludes a healthy one, because the release that
 // the healthy one sent when the generation began arrives after the leaving member has handed over the key.
 func TestLateReleaseToLeavingMember(t *testing.T) {
