Refuse queries until the links of a new incarnation are up

Cause: a node that rejoins closes its links, and the others dial it once they have learned of the new incarnation, which takes some 100 ms on a busy machine. The entry took queries again as soon as it listened, or earlier if its zone was taken out meanwhile, found the servers of all other owners unreachable, and answered with notRun or insufficientCoverage, unreachable. Callers do not try another entry for that reason.

Change: after a new incarnation, queries are refused as leaving, with the other entries, until as many links are up as before, and for 2 s at most, after which a node that has not linked is excluded.

TestRelinking fails with the comparison of links disabled.

--- a/internal/server/entry.go
+++ b/internal/server/entry.go
@@ -26,8 +26,9 @@
 
 // Query runs one query for a caller.
 func (s *Server) Query(ctx context.Context, query broker.Query) (broker.Answer, error) {
-	// While a new incarnation is being set up, answers of other nodes would be lost with the closed links.
-	if s.rejoiningSince.Load() != nil || !s.drainer.Begin() {
+	// While a new incarnation is being set up, answers of other nodes would be lost with the closed links. Until the new
+	// links are up, most servers seem unreachable.
+	if s.rejoiningSince.Load() != nil || s.liveness.relinking(time.Now()) || !s.drainer.Begin() {
 		answer := notRunAnswer(&query, broker.ReasonLeaving)
 		answer.Entries = s.entryAddresses(time.Now())
 		return answer, nil
--- a/internal/server/ownership.go
+++ b/internal/server/ownership.go
@@ -132,6 +132,7 @@
 	next := previous
 	next.ID = newNodeID(s.name)
 	s.logger.Info("incarnation changed", "from", previous.ID, "to", next.ID)
+	s.liveness.awaitLinks(time.Now().Add(relinkTimeout))
 	s.peers.replace(next, func() { s.rejoiningSince.Store(nil) })
 	return next
 }
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -24,6 +24,8 @@
 	reopenInterval = 50 * time.Millisecond
 	// finishTimeout limits the wait for requests in progress before a new incarnation closes the links.
 	finishTimeout = time.Second
+	// relinkTimeout limits the wait of a new incarnation for its links. A node that has not linked by then is excluded.
+	relinkTimeout = 2 * time.Second
 )
 
 // trialCheckInterval is the delay before checking again a sub-request whose fingerprint is on trial.
@@ -138,6 +140,13 @@
 	mu      sync.RWMutex
 	linked  map[broker.NodeID]bool
 	leaving map[broker.NodeID]bool
+	relink  atomic.Pointer[relink] // nil unless links of a new incarnation are to come up
+}
+
+// relink is the wait of a new incarnation for as many links as the previous one had.
+type relink struct {
+	links int
+	until time.Time
 }
 
 func newLiveness() *liveness {
@@ -160,6 +169,32 @@
 	return ids
 }
 
+// awaitLinks starts the wait of a new incarnation. If one is in progress, its number of links stays the least.
+func (l *liveness) awaitLinks(until time.Time) {
+	l.mu.RLock()
+	links := len(l.linked)
+	l.mu.RUnlock()
+	if unfinished := l.relink.Load(); unfinished != nil {
+		links = max(links, unfinished.links)
+	}
+	l.relink.Store(&relink{links: links, until: until})
+}
+
+// relinking returns whether links of a new incarnation are still to come up.
+func (l *liveness) relinking(now time.Time) bool {
+	awaited := l.relink.Load()
+	if awaited == nil {
+		return false
+	}
+	if now.After(awaited.until) {
+		l.relink.CompareAndSwap(awaited, nil)
+		return false
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.linked) < awaited.links
+}
+
 func (l *liveness) setLinked(id broker.NodeID, linked bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
