Show which servers state something now, and how often they are passed over

Cause: counters told how often servers stated a limit, a pause or that they are leaving, but not how many do so at the moment, and a request that went to another server for it could not be told from one that did not.

Change: the gauge yuccarock_server_notices{kind}, the counter yuccarock_attempts_withheld_total, and withheld in the log lines of requests.

Ruled out: a gauge for each server, whose number is not bounded; the log lines name the servers.

--- a/internal/broker/coordination/scatterer/stats.go
+++ b/internal/broker/coordination/scatterer/stats.go
@@ -37,5 +37,6 @@
 	Canaries      int
 	Crashes       int
 	Reruns        int
+	Withheld      int // servers passed over in a choice because of what they state about themselves
 	Drops         [dropCount]int
 }
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -127,6 +127,7 @@
 		}
 		if withheld := s.withheldReason(sh, replica.Server); withheld != broker.ReasonNone {
 			reason = moreSpecific(reason, withheld)
+			s.stats.Withheld++
 			continue
 		}
 		if replica.Leaving() {
--- a/internal/broker/state/tracker/notices.go
+++ b/internal/broker/state/tracker/notices.go
@@ -15,6 +15,32 @@
 // leavingGrace is how long after a server first stated that it is leaving it may get requests that no other server takes.
 const leavingGrace = 2 * time.Second
 
+// NoticeCounts are the numbers of servers by what they state about themselves.
+type NoticeCounts struct {
+	Limited int // state a limit
+	Paused  int // want no requests of this host now
+	Leaving int // have stated that they are leaving
+}
+
+// CountNotices counts the servers by what they state at a time.
+func (t *Tracker) CountNotices(now time.Time) NoticeCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var counts NoticeCounts
+	for _, server := range t.servers {
+		if server.Limited() {
+			counts.Limited++
+		}
+		if server.Paused(now) {
+			counts.Paused++
+		}
+		if server.Leaving() {
+			counts.Leaving++
+		}
+	}
+	return counts
+}
+
 // Leaving reports whether the server has stated that it is leaving. That holds until another process has its name,
 // whatever it states later.
 func (s *Server) Leaving() bool { return s.leftAt.Load() != nil }
--- a/internal/broker/state/tracker/notices_test.go
+++ b/internal/broker/state/tracker/notices_test.go
@@ -43,3 +43,27 @@
 		}
 	}
 }
+
+// TestCountNotices guards against metrics that count a server after what it stated has ended.
+func TestCountNotices(t *testing.T) {
+	tests := []struct {
+		name   string
+		notice broker.ServerNotice
+		after  time.Duration
+		want   NoticeCounts
+	}{
+		{"nothing stated", broker.ServerNotice{}, 0, NoticeCounts{}},
+		{"limit", broker.ServerNotice{Limited: true}, time.Hour, NoticeCounts{Limited: 1}},
+		{"pause", broker.ServerNotice{RetryAfter: time.Minute}, time.Second, NoticeCounts{Paused: 1}},
+		{"end of the pause", broker.ServerNotice{RetryAfter: time.Minute}, time.Minute, NoticeCounts{}},
+		{"leaving with a limit", broker.ServerNotice{Leaving: true, Limited: true}, time.Hour, NoticeCounts{Limited: 1, Leaving: 1}},
+	}
+	for _, tt := range tests {
+		tracked := New()
+		tracked.ensureServer("other")
+		tracked.ensureServer("s1").ReportNotice(tt.notice, epoch, epoch)
+		if got := tracked.CountNotices(epoch.Add(tt.after)); got != tt.want {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 	f.relays.SetFallbacks(deps.Settings.Seeds)
 	f.feeds = newFeeds(f.hasFreshContact)
 	f.quarantine = newQuarantine(f.set, f.logger)
-	f.notices = newNotices(f.set, f.logger)
+	f.notices = newNotices(f.set, f.logger, f.tracker.CountNotices)
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
 	f.set.NewGauge("yuccarock_wanted_cores", f.load.wantedCapacity)
 	f.prober = prober.New(deps.Probe, prober.Options{
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -13,7 +13,7 @@
 type meters struct {
 	set                                                *metrics.Set
 	sent, hedges, hedgesDenied, retries, retriesDenied *metrics.Counter
-	parts, missing, callersGone, resolve               *metrics.Counter
+	parts, missing, callersGone, resolve, withheld     *metrics.Counter
 	firstAttempts, furtherAttempts                     crossZoneBytes
 }
 
@@ -33,6 +33,7 @@
 		set: set, sent: counter("attempts"), hedges: counter("hedges"), hedgesDenied: counter("hedges_denied"),
 		retries: counter("retries"), retriesDenied: counter("retries_denied"), parts: counter("parts"),
 		missing: counter("parts_missing"), callersGone: counter("callers_gone"), resolve: counter("resolves"),
+		withheld:      counter("attempts_withheld"),
 		firstAttempts: newCrossZoneBytes(set, "firstAttempt"), furtherAttempts: newCrossZoneBytes(set, "furtherAttempt"),
 	}
 }
@@ -44,6 +45,7 @@
 	m.hedgesDenied.Add(stats.HedgesDenied)
 	m.retries.Add(stats.Retries)
 	m.retriesDenied.Add(stats.RetriesDenied)
+	m.withheld.Add(stats.Withheld)
 }
 
 // crossZone adds the bytes of one exchange with a server in another availability zone.
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -1,12 +1,14 @@
 package forwarder
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 	"github.com/yuccarock/yuccarock/internal/logger"
 )
 
@@ -38,7 +40,16 @@
 	malformed  *metrics.Counter
 }
 
-func newNotices(set *metrics.Set, log *slog.Logger) *notices {
+// newNotices returns notices that have counted nothing; current counts the servers by what they state now.
+func newNotices(set *metrics.Set, log *slog.Logger, current func(now time.Time) tracker.NoticeCounts) *notices {
+	gauge := func(kind string, count func(tracker.NoticeCounts) int) {
+		set.NewGauge(fmt.Sprintf("yuccarock_server_notices{kind=%q}", kind), func() float64 {
+			return float64(count(current(time.Now())))
+		})
+	}
+	gauge("limit", func(counts tracker.NoticeCounts) int { return counts.Limited })
+	gauge("pause", func(counts tracker.NoticeCounts) int { return counts.Paused })
+	gauge("leaving", func(counts tracker.NoticeCounts) int { return counts.Leaving })
 	return &notices{
 		logger: log, logLimiter: logger.NewLimiter(noticeLogRate, noticeLogBurst),
 		limits:    set.GetOrCreateCounter("yuccarock_server_limit_changes_total"),
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -241,7 +241,7 @@
 		"shards", s.final.Coverage.ShardsTotal, "answered", s.final.Coverage.ShardsAnswered,
 		"missing", s.final.Coverage.Missing[:min(len(s.final.Coverage.Missing), maxListed)],
 		"sent", stats.Sent, "hedges", stats.Hedges, "hedgesDenied", stats.HedgesDenied,
-		"retries", stats.Retries, "retriesDenied", stats.RetriesDenied,
+		"retries", stats.Retries, "retriesDenied", stats.RetriesDenied, "withheld", stats.Withheld,
 		"attempts", s.failedAttempts[:min(len(s.failedAttempts), maxListed)],
 		"attemptsNotListed", max(0, len(s.failedAttempts)-maxListed), "skippedLines", skipped)
 }
