Plot the results of model limits

Cause: how much of a stated limit is used against the number of hosts was in a table of docs/CAPACITY.md alone, in which the fall towards 690 hosts and the requests of hosts that do not know of a low limit yet are hard to see.

Ruled out: the HTML page of the other model commands, for one image.

--- a/cmd/model_limits.go
+++ b/cmd/model_limits.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccarock/yuccarock/internal/modeler"
@@ -20,6 +22,7 @@
 			"how much of the limit is used and the most requests in 4 s.\n\nExample: yuccarock model limits --hosts 7,690",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "hosts", Usage: "`NUMBERS` of hosts, separated by commas", Value: "7,30,300,690"},
+			&cli.StringFlag{Name: "plot", Usage: "write a plot of the highest load to `FILE`, as SVG"},
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the arrivals", Value: 1},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
@@ -38,7 +41,24 @@
 				running.Go(func() { results[i] = modeler.SimulateLimit(cases[i], command.Uint64("seed")) })
 			}
 			running.Wait()
+			if path := command.String("plot"); path != "" {
+				if err := writeLimitPlot(path, results); err != nil {
+					return err
+				}
+			}
 			return modeler.WriteLimits(command.Root().Writer, results)
 		},
 	}
 }
+
+func writeLimitPlot(path string, results []modeler.LimitResult) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := modeler.WriteLimitPlot(file, results); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.WithStack(file.Close())
+}
--- a/internal/modeler/modeler_test.go
+++ b/internal/modeler/modeler_test.go
@@ -170,3 +170,23 @@
 		}
 	}
 }
+
+// TestWriteLimitPlot guards against a plot without one of the limits, and a panic where there is nothing to draw.
+func TestWriteLimitPlot(t *testing.T) {
+	var image bytes.Buffer
+	results := []LimitResult{
+		{LimitCase: LimitCase{Hosts: 3, Limit: 1.2, Load: 3}, Used: 0.5, WorstWindow: 6, Allowed: 12},
+		{LimitCase: LimitCase{Hosts: 3, Limit: 24, Load: 3}, Used: 0.8, WorstWindow: 90, Allowed: 149},
+	}
+	if err := WriteLimitPlot(&image, results); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"used, 1.2 a second", "window, 24 a second"} {
+		if !strings.Contains(image.String(), want) {
+			t.Errorf("plot: got no line %q", want)
+		}
+	}
+	if err := WriteLimitPlot(&image, nil); err == nil {
+		t.Error("plot of no results: got no error, want one")
+	}
+}
