Give the warm-up of tests of serve 60 s

Cause: before the tests start, queries run until all servers are warm, for 20 s at most. Only 1 in 20 first attempts at a shard goes to a cold replica, and half of the queries are reports, each to one of three shards. On a busy machine, at some 20 queries a second, a cold replica of such a shard is passed over for 20 s in 3 of 100 runs.

Change: 60 s for this wait, a precondition to which no bound of the design applies. What the tests check is unchanged.

Ruled out: a server that stays cold. In 12 runs at once with a trace the last server to become warm was one of a report shard each time, after 97 to 641 queries and 1.7 to 16 s.

The whole script was not run on this commit.

--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -30,6 +30,9 @@
 	takeoverBound = 2*time.Second + 2100*time.Millisecond + time.Second + time.Second
 	// waitTimeout limits waits to which no bound of the design page applies.
 	waitTimeout = 20 * time.Second
+	// warmUpTimeout is longer, because only 1 in 20 first attempts at a shard goes to a cold replica, and a busy machine
+	// sends few reports to each shard.
+	warmUpTimeout = 60 * time.Second
 )
 
 // systemSlots limits the systems that run in parallel; more would slow each other down so that they miss their bounds.
@@ -242,7 +245,7 @@
 func (f *fixture) warmUp() {
 	f.Helper()
 	stop := f.startLoad(2)
-	f.waitFor(waitTimeout, "every server warm", f.AllServersWarm)
+	f.waitFor(warmUpTimeout, "every server warm", f.AllServersWarm)
 	stop() // refusals are allowed until all owners have started
 	f.results = nil
 }
