--- a/cmd/model.go
+++ b/cmd/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"strings"
 
@@ -54,17 +55,18 @@
 		return err
 	}
 	if path := command.String("report"); path != "" {
-		return writeReport(path, scenario, results)
+		return writeFile(path, func(w io.Writer) error { return modeler.WriteReport(w, scenario, results) })
 	}
 	return nil
 }
 
-func writeReport(path string, scenario *modeler.Scenario, results []modeler.Result) error {
+// writeFile creates a file with what write writes.
+func writeFile(path string, write func(w io.Writer) error) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	if err := modeler.WriteReport(file, scenario, results); err != nil {
+	if err := write(file); err != nil {
 		_ = file.Close()
 		return err
 	}
--- a/cmd/model_limits.go
+++ b/cmd/model_limits.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"os"
+	"io"
 	"strconv"
 	"strings"
 	"sync"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccarock/yuccarock/internal/modeler"
@@ -42,7 +41,8 @@
 			}
 			running.Wait()
 			if path := command.String("plot"); path != "" {
-				if err := writeLimitPlot(path, results); err != nil {
+				write := func(w io.Writer) error { return modeler.WriteLimitPlot(w, results) }
+				if err := writeFile(path, write); err != nil {
 					return err
 				}
 			}
@@ -50,15 +50,3 @@
 		},
 	}
 }
-
-func writeLimitPlot(path string, results []modeler.LimitResult) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	if err := modeler.WriteLimitPlot(file, results); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return errors.WithStack(file.Close())
-}
--- a/internal/modeler/limits_plot.go
+++ b/internal/modeler/limits_plot.go
@@ -27,12 +27,7 @@
 	if err != nil {
 		return &Error{Op: "draw a plot", Kind: KindInvalid, Err: errors.WithStack(err)}
 	}
-	writer, err := p.WriterTo(20*vg.Centimeter, 10*vg.Centimeter, "svg")
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	_, err = writer.WriteTo(w)
-	return errors.WithStack(err)
+	return writeSVG(w, p, 10*vg.Centimeter)
 }
 
 // limitLines returns two lines for each limit, each a name followed by its points.
