Compare the stored list at the host that writes it alone

Each host gathered its servers and quarantined requests at every interval, and then found that another one writes the list. The check comes first; what is written, and when, is unchanged.

--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -15,10 +15,13 @@
 	written := f.restoreServerList(ctx)
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, serverListInterval)
+		if !f.isFirstServing() {
+			continue
+		}
 		current := broker.ServerList{
 			Servers: f.registrar.ActiveServers(), Quarantined: f.quarantine.quarantiner.Quarantined(time.Now()),
 		}
-		if !f.isFirstServing() || len(current.Servers) == 0 || sameServerList(current, written) {
+		if len(current.Servers) == 0 || sameServerList(current, written) {
 			continue
 		}
 		f.gate.Await(ctx)
