Log all notices of servers through one limiter call

The line on a malformed notice repeated the fields and the limit of the other lines. The lines are unchanged but for the order of their fields. The comment on members that have just joined says what they do not do.

--- a/internal/broker/coordination/leaser/quorum.go
+++ b/internal/broker/coordination/leaser/quorum.go
@@ -100,8 +100,8 @@
 }
 
 // excludeSilent excludes silent members. A member that does not hear a majority excludes nobody: it cannot take
-// over, and its exclusions would remove healthy members once the others hear it again. A new incarnation does neither
-// until the silence timeout has passed: the others link to it only after they have learned of it.
+// over, and its exclusions would remove healthy members once the others hear it again. A new member excludes nobody
+// within the silence timeout either: the others link to it only after they have learned of it.
 func (c *Core) excludeSilent(now time.Time) {
 	if now.Sub(c.memberSince) <= c.settings.SilenceTimeout {
 		return
--- a/internal/forwarder/notices.go
+++ b/internal/forwarder/notices.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"time"
@@ -66,23 +67,23 @@
 	previous, recorded := to.server.ReportNotice(notice, sentAt, now)
 	if notice.Leaving && !wasLeaving {
 		n.leaving.Inc()
-		n.log("server states that it is leaving", to)
+		n.log(slog.LevelInfo, "server states that it is leaving", to)
 	}
 	if notice.RetryAfter > 0 {
 		n.pauses.Inc()
-		n.log("server wants no requests for a time", to, "forMs", notice.RetryAfter.Milliseconds())
+		n.log(slog.LevelInfo, "server wants no requests for a time", to, "forMs", notice.RetryAfter.Milliseconds())
 	}
 	if recorded && (previous.Limited != notice.Limited || previous.Limit != notice.Limit) {
 		n.limits.Inc()
-		n.log("server changed its limit", to, "limited", notice.Limited, "limit", notice.Limit,
+		n.log(slog.LevelInfo, "server changed its limit", to, "limited", notice.Limited, "limit", notice.Limit,
 			"wasLimited", previous.Limited, "previous", previous.Limit)
 	}
 }
 
 // log writes a line about a server, unless too many have been written.
-func (n *notices) log(message string, to receiver, attributes ...any) {
+func (n *notices) log(level slog.Level, message string, to receiver, attributes ...any) {
 	if skipped, ok := n.logLimiter.Allow(time.Now()); ok {
-		n.logger.Info(message, append([]any{"server", to.server.Name, "service", to.instance.Service,
+		n.logger.Log(context.Background(), level, message, append([]any{"server", to.server.Name, "service", to.instance.Service,
 			"skippedLines", skipped}, attributes...)...)
 	}
 }
@@ -90,8 +91,5 @@
 // reportMalformed records that a notice could not be read.
 func (n *notices) reportMalformed(to receiver, err error) {
 	n.malformed.Inc()
-	if skipped, ok := n.logLimiter.Allow(time.Now()); ok {
-		n.logger.Warn("ignored a malformed notice of a server", "server", to.server.Name,
-			"service", to.instance.Service, "error", err, "skippedLines", skipped)
-	}
+	n.log(slog.LevelWarn, "ignored a malformed notice of a server", to, "error", err)
 }
