--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of the cases start.
+set -eu
+cd "$(dirname "$0")/standin"
+go build -o ../bin/standin .
