Show that a version of the configuration comes too late behind a relay

Cause: a relay checks the age of its last contact with the store only when a question arrives, which may then wait 1 s more.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(s *system, trouble bool) (bool, error){
 	"evacuation": runEvacuation,
 	"drain":      runDrain,
+	"config":     runConfig,
 }
 
 func main() {
