Show that a client that closes its side gets a success without a stamp

Cause: a request whose client has left ends without an answer, and net/http then sends 200 with an empty body.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"evacuation": runEvacuation,
 	"drain":      runDrain,
 	"config":     runConfig,
+	"leaving":    runLeaving,
 }
 
 func main() {
