--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -174,7 +174,7 @@
 	if trouble {
 		time.Sleep(300 * time.Millisecond)
 		first.kill()
-		s.record.say("%s has lost power, for good", first.name)
+		s.record.say("%s is killed and does not come back", first.name)
 	}
 	time.Sleep(20*time.Second - time.Since(acked))
 	close(stop)
