--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -24,12 +24,12 @@
 	for i, m := range s.machines {
 		tests.Go(func() {
 			c := s.newClient(m.zone)
-			time.Sleep(time.Duration(i) * 13 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 61 * time.Millisecond)
 			for {
 				select {
 				case <-stop:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(500 * time.Millisecond):
 				}
 				mu.Lock()
 				target, ack := path, acked
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -29,12 +29,14 @@
 	return n, nil
 }
 
-// runDrain sends reports with bodies of 160 KiB, which take 3.2 s on the way from the client. With trouble, a backend
-// reports that it is draining just after they have begun, and ends a little later than drain_ms after that.
+// runDrain sends 36 reports with bodies of 160 KiB, which take 3.2 s on the way from the client. With trouble, one of nine
+// backends reports that it is draining just after they have begun, and ends a little later than drain_ms after that.
 func runDrain(s *system, trouble bool) (bool, error) {
-	for _, zone := range s.zones[:2] {
-		if _, err := s.newBackend("intake", zone, 4, 300*time.Millisecond); err != nil {
-			return false, err
+	for range 3 {
+		for _, zone := range s.zones {
+			if _, err := s.newBackend("intake", zone, 3, 300*time.Millisecond); err != nil {
+				return false, err
+			}
 		}
 	}
 	s.services = []string{"intake"}
@@ -78,13 +80,13 @@
 	var clients sync.WaitGroup
 	statuses := map[string]int{}
 	const pieces = 40
-	for i := range 9 {
+	for i := range 36 {
 		clients.Go(func() {
 			c := s.newClient(s.zones[i%len(s.zones)])
 			if c.resolve() != nil {
 				return
 			}
-			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
 			id := newID()
 			status, err := c.attempt(c.addresses[i%len(c.addresses)], id, "POST", "/report/"+id, 5*time.Second,
 				&slowBody{left: pieces * bodyPiece, pause: 3200 * time.Millisecond / pieces})
