Show the older listing with a planned stop in place of a kill

The script of case 2 had two disruptions, a partition and a kill. The cause needs one only: a host that follows another one takes an older listing for a newer one after any change of relays, and a planned stop changes them too. The script now stops the first machine of the zone with SIGTERM, partitions the second one from the store 3.1 s later and evacuates the zone 0.3 s after that; with TROUBLE=0 the stop and the evacuation stay.

--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -74,8 +74,8 @@
 	return nil
 }
 
-// runEvacuation evacuates zone kv-a. With trouble, the second machine of the zone has been partitioned from the store just
-// before, and the first one is killed just after.
+// runEvacuation evacuates zone kv-a while the first machine of the zone ends by a planned stop. With trouble, the second one
+// has been partitioned from the store just before.
 func runEvacuation(s *system, trouble bool) (bool, error) {
 	if err := startSmallSite(s); err != nil {
 		return false, err
@@ -99,8 +99,8 @@
 			}
 		}
 		reached[name]++
-		// The partitioned machine and the killed one are not in touch; all others are.
-		if trouble && (name == first.name || name == second.name) {
+		// The stopped machine and the partitioned one are not in touch; all others are.
+		if name == first.name || trouble && name == second.name {
 			return
 		}
 		late++
@@ -157,6 +157,12 @@
 	}
 	time.Sleep(4 * time.Second)
 
+	// A planned stop takes four seconds here, in which the first machine still serves the others.
+	if err := first.terminate(); err != nil {
+		return false, err
+	}
+	s.record.say("%s gets SIGTERM and does not come back", first.name)
+	time.Sleep(3100 * time.Millisecond)
 	if trouble {
 		s.record.say("%s is partitioned from the store, for 5.5 s", second.name)
 		second.link.setCut(true)
@@ -164,18 +170,13 @@
 			second.link.setCut(false)
 			s.record.say("the partition has healed")
 		})
-		time.Sleep(200 * time.Millisecond)
 	}
+	time.Sleep(300 * time.Millisecond)
 	s.store.put("evacuations", "kv-a", map[string]any{})
 	mu.Lock()
 	acked = time.Now()
 	mu.Unlock()
 	s.record.say("the store has acknowledged the evacuation of kv-a")
-	if trouble {
-		time.Sleep(300 * time.Millisecond)
-		first.kill()
-		s.record.say("%s is killed and does not come back", first.name)
-	}
 	time.Sleep(20*time.Second - time.Since(acked))
 	close(stop)
 	senders.Wait()
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -215,6 +215,16 @@
 	m.processes = nil
 }
 
+// terminate sends SIGTERM to all processes of a machine.
+func (m *machine) terminate() error {
+	for _, each := range m.processes {
+		if err := each.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // end ends everything that the run has started.
 func (s *system) end() {
 	for _, m := range s.machines {
