Refuse listings of relays that are older than the current state

Cause: after a change of relays, Source.List returned the listing of the next relay under the highest revision of any answer so far, so that the follower's check for older listings could not refuse it. The next watch of the store began at that revision and skipped the missed event. The fallback's last state took the same way and counted as contact with the store, as did a poll that reported a change that the watch had not delivered.

Change: each copy of a collection carries broker.Knowledge, the revision and time up to which it has every change. No hop raises the revision. A listing of another host at a lower revision is accepted only if it holds the same entries; otherwise the next relay or the store is asked. Logs and a gauge state the age of what is known.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -46,14 +46,16 @@
 	PollWait time.Duration
 	// HistoryGone is called if the store has dropped its history, which affects all its collections.
 	HistoryGone func()
+	// Renewed is called when the copy is known to have every change up to a later time; nil if nobody needs to know.
+	Renewed func(broker.Knowledge)
 	// Gate is shared by all followers of a store.
 	Gate *Gate
 }
 
 // Update is a new state of a collection; Items must not be modified.
 type Update[T any] struct {
-	Items    map[string]broker.Item[T]
-	Revision uint64
+	Items map[string]broker.Item[T]
+	Known broker.Knowledge
 	// Listed reports whether the state comes from a listing, before which changes may have been missed.
 	Listed bool
 	// Removed are the names of the items that the previous state had and this one does not.
@@ -73,10 +75,10 @@
 	loaded   bool // an update has been applied
 	failing  bool // the last call failed
 
-	current     atomic.Uint64 // copy of revision for concurrent readers
-	lastContact atomic.Int64  // nanoseconds from epoch to the last answer of the source
-	epoch       time.Time
-	refresh     chan struct{} // requests a listing
+	current atomic.Uint64 // copy of revision for concurrent readers
+	knownAt atomic.Int64  // nanoseconds from epoch to the time up to which items have every change
+	epoch   time.Time
+	refresh chan struct{} // requests a listing
 
 	calls, polls, failures, updates *metrics.Counter
 }
@@ -88,11 +90,15 @@
 	counter := func(metric string) *metrics.Counter {
 		return set.GetOrCreateCounter(fmt.Sprintf("yuccarock_collection_%s_total{collection=%q}", metric, name))
 	}
-	return &Follower[T]{
+	f := &Follower[T]{
 		name: name, source: source, apply: apply, options: options, logger: logger.With("collection", name),
 		refresh: make(chan struct{}, 1), epoch: time.Now(),
 		calls: counter("calls"), polls: counter("glances"), failures: counter("failures"), updates: counter("updates"),
 	}
+	set.NewGauge(fmt.Sprintf("yuccarock_collection_age_seconds{collection=%q}", name), func() float64 {
+		return time.Since(f.Known().At).Seconds()
+	})
+	return f
 }
 
 // Refresh requests a listing of the collection; it interrupts the current watch.
@@ -103,15 +109,27 @@
 	}
 }
 
-// Contact returns the time of the source's last answer, or the zero time before the first one.
-func (f *Follower[T]) Contact() time.Time {
-	if after := f.lastContact.Load(); after > 0 {
-		return f.epoch.Add(time.Duration(after))
-	}
-	return time.Time{}
+// Known returns up to which point the copy has every change. Its time is that of New before the first update.
+func (f *Follower[T]) Known() broker.Knowledge {
+	return broker.Knowledge{Revision: f.current.Load(), At: f.epoch.Add(time.Duration(f.knownAt.Load()))}
 }
 
-func (f *Follower[T]) recordContact() { f.lastContact.Store(int64(time.Since(f.epoch))) }
+// renew records that the copy has every change up to a time, unless that is known already.
+func (f *Follower[T]) renew(at time.Time) {
+	next := int64(at.Sub(f.epoch))
+	for {
+		last := f.knownAt.Load()
+		if next <= last {
+			return
+		}
+		if f.knownAt.CompareAndSwap(last, next) {
+			break
+		}
+	}
+	if f.options.Renewed != nil {
+		f.options.Renewed(f.Known())
+	}
+}
 
 // Run follows the collection until ctx is done.
 func (f *Follower[T]) Run(ctx context.Context) {
@@ -136,6 +154,7 @@
 			f.reportHistoryGone()
 		}
 		if errors.Is(err, broker.ErrRelist) {
+			f.logger.Info("listing the collection again", "at", f.revision, "knownFor", time.Since(f.Known().At), "reason", err)
 			listed, err = false, nil
 		}
 		wait := f.options.Pause - time.Since(started)
@@ -164,12 +183,12 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		items, revision, err := f.source.List(callCtx)
+		items, known, err := f.source.List(callCtx, f.accepts)
 		if err != nil {
 			return err
 		}
 		*listed = true
-		f.applyListing(items, revision)
+		f.applyListing(items, known)
 		return nil
 	}
 	wait := f.options.Wait
@@ -189,7 +208,7 @@
 		case <-callCtx.Done():
 		}
 	}()
-	changes, revision, err := f.source.Watch(callCtx, f.revision, wait)
+	changes, known, err := f.source.Watch(callCtx, f.revision, wait)
 	cancel()
 	<-ended
 	if refreshed {
@@ -199,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	f.applyChanges(changes, revision)
+	f.applyChanges(changes, known)
 	return nil
 }
 
@@ -211,8 +230,10 @@
 	}
 }
 
-// poll checks until ctx is done that the watch does not miss changes, and requests a listing if it does.
+// poll checks until ctx is done that the watch does not miss changes, and requests a listing if it does. While there are
+// no changes, it renews the time up to which the copy has all of them.
 func (f *Follower[T]) poll(ctx context.Context) {
+	wait := f.options.PollWait
 	for ctx.Err() == nil {
 		revision := f.current.Load()
 		if revision == 0 {
@@ -220,9 +241,10 @@
 			continue
 		}
 		f.polls.Inc()
-		callCtx, cancel := context.WithTimeout(ctx, f.options.PollWait+watchSlack)
-		changed, err := f.source.Poll(callCtx, revision, f.options.PollWait)
+		callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		changed, at, err := f.source.Poll(callCtx, revision, wait)
 		cancel()
+		wait = f.options.PollWait
 		switch {
 		case errors.Is(err, broker.ErrHistoryGone):
 			f.reportHistoryGone()
@@ -230,9 +252,8 @@
 		case err != nil:
 			waiter.Wait(ctx, maxBackoff)
 		case !changed:
-			f.recordContact()
+			f.renew(at)
 		default:
-			f.recordContact()
 			// The watch normally reports the change at the same time.
 			waiter.Wait(ctx, f.options.Pause+watchGrace)
 			if f.current.Load() == revision {
@@ -240,14 +261,41 @@
 				f.Refresh()
 				waiter.Wait(ctx, f.options.PollWait)
 			}
+			wait = probeWait // shows at once that the watch has reported everything
 		}
 	}
 }
 
+// accepts reports whether a listing from another host can replace the current state: whether it is not older. At a lower
+// revision it has to hold the same items, because the store counts the changes of all collections: the other host may
+// have missed nothing.
+func (f *Follower[T]) accepts(items []broker.Item[T], known broker.Knowledge) bool {
+	if !f.loaded || known.Revision >= f.revision || f.holds(items) {
+		return true
+	}
+	f.logger.Warn("refused a listing of another host that is older than the current state", "at", known.Revision,
+		"known", f.revision, "age", time.Since(known.At))
+	return false
+}
+
+// holds reports whether the current state has the given items and no others.
+func (f *Follower[T]) holds(items []broker.Item[T]) bool {
+	for _, item := range items {
+		if current, ok := f.items[item.Name]; !ok || current.Revision != item.Revision {
+			return false
+		}
+	}
+	return len(items) == len(f.items)
+}
+
 // applyListing applies a listing unless it is older than the current state.
-func (f *Follower[T]) applyListing(items []broker.Item[T], revision uint64) {
-	if f.loaded && revision < f.revision {
-		f.logger.Warn("ignored a listing older than the current state", "at", revision, "known", f.revision)
+func (f *Follower[T]) applyListing(items []broker.Item[T], known broker.Knowledge) {
+	if f.loaded && known.Revision < f.revision {
+		if f.holds(items) {
+			f.renew(known.At)
+		} else {
+			f.logger.Warn("ignored a listing older than the current state", "at", known.Revision, "known", f.revision)
+		}
 		return
 	}
 	next := make(map[string]broker.Item[T], len(items))
@@ -263,14 +311,16 @@
 			removed = append(removed, name)
 		}
 	}
-	f.publish(next, revision, true, removed)
+	f.publish(next, known, true, removed)
 }
 
 // applyChanges applies the changes of a watch, except those older than the current revision of their item.
-func (f *Follower[T]) applyChanges(changes []broker.Change[T], revision uint64) {
+func (f *Follower[T]) applyChanges(changes []broker.Change[T], known broker.Knowledge) {
+	known.Revision = max(f.revision, known.Revision)
 	if len(changes) == 0 {
-		f.revision = max(f.revision, revision)
+		f.revision = known.Revision
 		f.current.Store(f.revision)
+		f.renew(known.At)
 		return
 	}
 	next := maps.Clone(f.items)
@@ -291,14 +341,17 @@
 			next[change.Name] = change.Item
 		}
 	}
-	f.publish(next, max(f.revision, revision), false, removed)
+	f.publish(next, known, false, removed)
 }
 
-func (f *Follower[T]) publish(items map[string]broker.Item[T], revision uint64, listed bool, removed []string) {
-	f.items, f.revision, f.loaded = items, revision, true
-	f.current.Store(revision)
+func (f *Follower[T]) publish(
+	items map[string]broker.Item[T], known broker.Knowledge, listed bool, removed []string,
+) {
+	f.items, f.revision, f.loaded = items, known.Revision, true
+	f.current.Store(known.Revision)
 	f.updates.Inc()
-	f.apply(Update[T]{Items: items, Revision: revision, Listed: listed, Removed: removed})
+	f.apply(Update[T]{Items: items, Known: known, Listed: listed, Removed: removed})
+	f.renew(known.At)
 }
 
 func (f *Follower[T]) recordFailure(err error) {
@@ -310,7 +363,6 @@
 }
 
 func (f *Follower[T]) recordSuccess() {
-	f.recordContact()
 	if f.failing {
 		f.failing = false
 		f.logger.Info("regained the store", "at", f.revision)
--- a/internal/broker/coordination/follower/follower_test.go
+++ b/internal/broker/coordination/follower/follower_test.go
@@ -56,7 +56,9 @@
 	s.err, s.silent = err, silent
 }
 
-func (s *fakeSource) List(context.Context) ([]broker.Item[uint64], uint64, error) {
+func (s *fakeSource) List(
+	context.Context, func([]broker.Item[uint64], broker.Knowledge) bool,
+) ([]broker.Item[uint64], broker.Knowledge, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
@@ -64,12 +66,12 @@
 	for name, value := range s.items {
 		items = append(items, broker.Item[uint64]{Name: name, Revision: value, Value: value})
 	}
-	return items, s.revision, s.err
+	return items, broker.Knowledge{Revision: s.revision, At: time.Now()}, s.err
 }
 
 func (s *fakeSource) Watch(
 	ctx context.Context, after uint64, wait time.Duration,
-) ([]broker.Change[uint64], uint64, error) {
+) ([]broker.Change[uint64], broker.Knowledge, error) {
 	s.mu.Lock()
 	s.watches++
 	silent := s.silent
@@ -86,30 +88,30 @@
 		revision, err, changed := s.revision, s.err, s.changed
 		s.mu.Unlock()
 		if err != nil {
-			return nil, 0, err
+			return nil, broker.Knowledge{}, err
 		}
 		if len(found) > 0 {
-			return found, revision, nil
+			return found, broker.Knowledge{Revision: revision, At: time.Now()}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, after, nil
+			return nil, broker.Knowledge{Revision: after, At: time.Now()}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, broker.Knowledge{}, ctx.Err()
 		}
 	}
 }
 
-func (s *fakeSource) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, error) {
+func (s *fakeSource) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
 	s.mu.Lock()
 	err, changed := s.err, s.revision > after
 	s.mu.Unlock()
 	if err != nil || changed {
-		return changed, err
+		return changed, time.Now(), err
 	}
 	waiter.Wait(ctx, wait)
-	return false, nil
+	return false, time.Now(), nil
 }
 
 // follow runs a follower of source until the test ends and returns a function that returns its updates so far.
@@ -186,10 +188,11 @@
 	item := func(revision uint64) broker.Item[uint64] {
 		return broker.Item[uint64]{Name: "a", Revision: revision, Value: revision}
 	}
-	f.applyListing([]broker.Item[uint64]{item(5)}, 5)
-	f.applyListing([]broker.Item[uint64]{item(3)}, 4)
-	f.applyChanges([]broker.Change[uint64]{{Item: item(4)}}, 6)
-	f.applyChanges([]broker.Change[uint64]{{Item: item(3), Deleted: true}}, 7)
+	at := func(revision uint64) broker.Knowledge { return broker.Knowledge{Revision: revision} }
+	f.applyListing([]broker.Item[uint64]{item(5)}, at(5))
+	f.applyListing([]broker.Item[uint64]{item(3)}, at(4))
+	f.applyChanges([]broker.Change[uint64]{{Item: item(4)}}, at(6))
+	f.applyChanges([]broker.Change[uint64]{{Item: item(3), Deleted: true}}, at(7))
 	if got, want := f.items["a"].Value, uint64(5); got != want {
 		t.Errorf("value: got %d, want %d", got, want)
 	}
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,15 +17,23 @@
 )
 
 const (
-	// maxLogChanges is the number of changes that a feed keeps; hosts that are further behind list the collection.
-	maxLogChanges = 1024
+	// MaxAge is the maximum age of what a relay answers with: how long ago its copy had every change.
+	MaxAge = 2500 * time.Millisecond
 	// maxWait is the maximum time that a request waits for changes. It also bounds the time to notice a dead connection.
 	maxWait = time.Second
+	// renewalSpread is the time over which the hosts that wait are told that there are no changes, so that a relay does not
+	// answer all of them at the same moment.
+	renewalSpread = 200 * time.Millisecond
+	// maxLogChanges is the number of changes that a feed keeps; hosts that are further behind list the collection.
+	maxLogChanges = 1024
 )
 
 // reply is a feed's answer; Items is set if Full is set, and Changes otherwise.
 type reply[T any] struct {
 	Revision uint64 `json:"at"`
+	// KnownFor is the time up to which the relay's copy has every change, relative to the arrival of the request. It is
+	// negative if that was before. The clocks of the two hosts need not agree.
+	KnownFor time.Duration `json:"knownFor"`
 	// Position is the client's position in the change log, which it sends with its next request.
 	Position string             `json:"seen"`
 	Full     bool               `json:"whole"`
@@ -34,20 +43,21 @@
 
 // Feed serves a collection that this host follows to other hosts; it implements http.Handler.
 type Feed[T any] struct {
-	isFresh func() bool // whether this host follows the store and has reached it recently
-
-	mu       sync.Mutex
-	process  string // changes with each start of the host
-	items    map[string]broker.Item[T]
-	revision uint64
-	log      []broker.Change[T] // oldest first
-	dropped  uint64             // number of changes that were dropped from the log
-	changed  chan struct{}
+	followsStore func() bool
+
+	mu      sync.Mutex
+	process string // changes with each start of the host
+	items   map[string]broker.Item[T]
+	known   broker.Knowledge
+	log     []broker.Change[T] // oldest first
+	dropped uint64             // number of changes that were dropped from the log
+	changed chan struct{}
 }
 
-// NewFeed returns an empty feed. It refuses requests until the first Publish and while isFresh returns false.
-func NewFeed[T any](isFresh func() bool) *Feed[T] {
-	return &Feed[T]{isFresh: isFresh, process: uuid.NewString(), changed: make(chan struct{})}
+// NewFeed returns an empty feed. It refuses requests until the first Publish, while followsStore returns false, and while
+// what it knows is older than MaxAge.
+func NewFeed[T any](followsStore func() bool) *Feed[T] {
+	return &Feed[T]{followsStore: followsStore, process: uuid.NewString(), changed: make(chan struct{})}
 }
 
 // Publish sets a new state of the collection.
@@ -57,7 +67,23 @@
 	if f.items != nil {
 		f.logChanges(update)
 	}
-	f.items, f.revision = update.Items, update.Revision
+	f.items = update.Items
+	f.renew(update.Known)
+}
+
+// Renew records up to which point the published state has every change.
+func (f *Feed[T]) Renew(known broker.Knowledge) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renew(known)
+}
+
+// renew advances what is known and wakes the requests that wait; the caller holds mu.
+func (f *Feed[T]) renew(known broker.Knowledge) {
+	f.known.Revision = max(f.known.Revision, known.Revision)
+	if known.At.After(f.known.At) {
+		f.known.At = known.At
+	}
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -80,7 +106,7 @@
 	for name := range f.items {
 		if _, ok := update.Items[name]; !ok {
 			f.log = append(f.log, broker.Change[T]{
-				Item: broker.Item[T]{Name: name, Revision: update.Revision}, Deleted: true,
+				Item: broker.Item[T]{Name: name, Revision: update.Known.Revision}, Deleted: true,
 			})
 		}
 	}
@@ -91,48 +117,65 @@
 }
 
 // ServeHTTP answers with the changes since the position in the query, or with all items if the log no longer has them.
-// Without changes it waits for one up to the time in the query. A request with the parameter old is answered even if
-// this host cannot reach the store.
+// Without changes it waits for one up to the time in the query, or until it is known that there were none since the
+// request arrived. A request with the parameter old is answered even if what this host knows is old.
 func (f *Feed[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	position, allowStale := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
+	arrived := time.Now()
+	position, allowOld := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	timeout := time.NewTimer(min(wait, maxWait))
 	defer timeout.Stop()
-	for {
-		answer, changed, ok := f.read(position)
-		if !ok || !allowStale && !f.isFresh() {
+	for renewed, ended, checked := false, false, false; ; checked = true {
+		state, ok := f.read(position)
+		if !ok || !allowOld && !checked && !f.isCurrent(state.known) {
 			http.Error(w, "this host is not following the store", http.StatusServiceUnavailable)
 			return
 		}
-		if answer.Full || len(answer.Changes) > 0 {
-			f.write(w, answer)
+		if state.reply.Full || len(state.reply.Changes) > 0 || ended {
+			state.reply.KnownFor = state.known.At.Sub(arrived)
+			f.write(w, state.reply)
 			return
 		}
+		if !renewed && state.known.At.After(arrived) {
+			renewed = true
+			timeout.Reset(rand.N(renewalSpread))
+		}
 		select {
-		case <-changed:
+		case <-state.changed:
 		case <-timeout.C:
-			f.write(w, answer)
-			return
+			ended = true
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+// isCurrent reports whether this host follows the store itself and knows of every change up to MaxAge ago.
+func (f *Feed[T]) isCurrent(known broker.Knowledge) bool {
+	return f.followsStore() && time.Since(known.At) < MaxAge
+}
+
 func (f *Feed[T]) write(w http.ResponseWriter, answer reply[T]) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer) // fails only if the client has disconnected
 }
 
-// read returns the answer for a position and a channel that the next Publish closes, or false before the first Publish.
-func (f *Feed[T]) read(position string) (reply[T], <-chan struct{}, bool) {
+// feedState is the state of a feed as seen from a position in its log.
+type feedState[T any] struct {
+	reply   reply[T] // without KnownFor
+	known   broker.Knowledge
+	changed <-chan struct{} // closed by the next Publish or Renew
+}
+
+// read returns the state for a position, or false before the first Publish.
+func (f *Feed[T]) read(position string) (feedState[T], bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.items == nil {
-		return reply[T]{}, nil, false
+		return feedState[T]{}, false
 	}
 	end := f.dropped + uint64(len(f.log))
-	answer := reply[T]{Revision: f.revision, Position: f.process + "." + strconv.FormatUint(end, 10)}
+	answer := reply[T]{Revision: f.known.Revision, Position: f.process + "." + strconv.FormatUint(end, 10)}
 	process, number, _ := strings.Cut(position, ".")
 	offset, err := strconv.ParseUint(number, 10, 64)
 	if err != nil || process != f.process || offset < f.dropped || offset > end {
@@ -141,8 +184,8 @@
 		for _, item := range f.items {
 			answer.Items = append(answer.Items, item)
 		}
-		return answer, f.changed, true
+	} else {
+		answer.Changes = slices.Clone(f.log[offset-f.dropped:])
 	}
-	answer.Changes = slices.Clone(f.log[offset-f.dropped:])
-	return answer, f.changed, true
+	return feedState[T]{reply: answer, known: f.known, changed: f.changed}, true
 }
--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,28 +11,44 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 )
 
-// storeSource is a store that counts its calls.
-type storeSource struct{ calls atomic.Int64 }
+// storeSource is a store that counts its calls, and fails them if err is set.
+type storeSource struct {
+	calls atomic.Int64
+	err   error
+}
 
-func (s *storeSource) List(context.Context) ([]broker.Item[string], uint64, error) {
+func (s *storeSource) List(
+	context.Context, func([]broker.Item[string], broker.Knowledge) bool,
+) ([]broker.Item[string], broker.Knowledge, error) {
 	s.calls.Add(1)
-	return []broker.Item[string]{{Name: "store", Revision: 1}}, 100, nil
+	return []broker.Item[string]{{Name: "store", Revision: 1}}, knownNow(100), s.err
 }
 
-func (s *storeSource) Watch(context.Context, uint64, time.Duration) ([]broker.Change[string], uint64, error) {
+func (s *storeSource) Watch(
+	context.Context, uint64, time.Duration,
+) ([]broker.Change[string], broker.Knowledge, error) {
 	s.calls.Add(1)
-	return nil, 100, nil
+	return nil, knownNow(100), s.err
 }
 
-func (s *storeSource) Poll(context.Context, uint64, time.Duration) (bool, error) {
+func (s *storeSource) Poll(context.Context, uint64, time.Duration) (bool, time.Time, error) {
 	s.calls.Add(1)
-	return false, nil
+	return false, time.Now(), s.err
 }
 
+func knownNow(revision uint64) broker.Knowledge {
+	return broker.Knowledge{Revision: revision, At: time.Now()}
+}
+
+// acceptAll accepts every listing, as a follower does before its first one.
+func acceptAll([]broker.Item[string], broker.Knowledge) bool { return true }
+
 // relay is a feed with an HTTP server.
 type relay struct {
 	feed    *Feed[string]
@@ -57,7 +74,7 @@
 	for name, revision := range names {
 		items[name] = broker.Item[string]{Name: name, Revision: revision}
 	}
-	r.feed.Publish(follower.Update[string]{Items: items, Revision: at})
+	r.feed.Publish(follower.Update[string]{Items: items, Known: knownNow(at)})
 }
 
 // TestRelay guards against changes that a relay does not pass on, including one with a lower revision than the
@@ -67,19 +84,19 @@
 	relays.Set([]netip.AddrPort{r.address})
 	source := NewSource("test", store, relays)
 	r.publish(10, map[string]uint64{"a": 5})
-	items, at, err := source.List(t.Context())
-	if err != nil || len(items) != 1 || at != 10 {
-		t.Fatalf("List(): got %v at %d, %v; want one item at 10", items, at, err)
+	items, at, err := source.List(t.Context(), acceptAll)
+	if err != nil || len(items) != 1 || at.Revision != 10 {
+		t.Fatalf("List(): got %v at %d, %v; want one item at 10", items, at.Revision, err)
 	}
 	go func() {
 		time.Sleep(20 * time.Millisecond)
 		r.publish(10, map[string]uint64{"b": 7})
 	}()
-	changes, _, err := source.Watch(t.Context(), at, time.Second)
+	changes, _, err := source.Watch(t.Context(), at.Revision, time.Second)
 	if err != nil || len(changes) != 2 {
 		t.Fatalf("Watch(): got %v, %v; want b added and a deleted", changes, err)
 	}
-	if changes, _, err = source.Watch(t.Context(), at, 10*time.Millisecond); err != nil || len(changes) != 0 {
+	if changes, _, err = source.Watch(t.Context(), at.Revision, 10*time.Millisecond); err != nil || len(changes) != 0 {
 		t.Errorf("Watch() without changes: got %v, %v; want none", changes, err)
 	}
 	if got := store.calls.Load(); got != 0 {
@@ -110,7 +127,7 @@
 			source := NewSource("test", store, relays)
 			first.publish(10, map[string]uint64{"a": 5})
 			second.publish(11, map[string]uint64{"a": 5})
-			if _, _, err := source.List(t.Context()); err != nil {
+			if _, _, err := source.List(t.Context(), acceptAll); err != nil {
 				t.Fatal(err)
 			}
 			tt.fail(first)
@@ -120,13 +137,69 @@
 			if _, _, err := source.Watch(t.Context(), 10, time.Second); !errors.Is(err, broker.ErrRelist) {
 				t.Errorf("Watch() at the next relay: got %v, want ErrRelist", err)
 			}
-			if _, at, err := source.List(t.Context()); err != nil || at != 11 {
-				t.Errorf("List() at the next relay: got %d, %v; want 11", at, err)
+			if _, at, err := source.List(t.Context(), acceptAll); err != nil || at.Revision != 11 {
+				t.Errorf("List() at the next relay: got %d, %v; want 11", at.Revision, err)
 			}
 			tt.fail(second)
 			_, _, _ = source.Watch(t.Context(), 11, time.Second)
-			if _, at, err := source.List(t.Context()); err != nil || at != 100 || !relays.Direct() {
-				t.Errorf("List() without a relay: got %d, %v; want 100 from the store", at, err)
+			if _, at, err := source.List(t.Context(), acceptAll); err != nil || at.Revision != 100 || !relays.Direct() {
+				t.Errorf("List() without a relay: got %d, %v; want 100 from the store", at.Revision, err)
+			}
+		})
+	}
+}
+
+// TestOlderRelay guards against a listing of a relay that has missed changes and is taken for current after a change of
+// relays, also if it is the last state of a fallback.
+func TestOlderRelay(t *testing.T) {
+	tests := []struct {
+		name          string
+		older         map[string]uint64
+		viaFallback   bool
+		wantFromStore bool
+	}{
+		{name: "an entry is missing", older: map[string]uint64{"a": 5}, wantFromStore: true},
+		{name: "a removed entry is there", older: map[string]uint64{"a": 5, "b": 12, "c": 6}, wantFromStore: true},
+		{name: "an earlier version of an entry", older: map[string]uint64{"a": 5, "b": 7}, wantFromStore: true},
+		{name: "the same entries at a lower revision", older: map[string]uint64{"a": 5, "b": 12}},
+		{name: "the last state of a fallback", older: map[string]uint64{"a": 5}, viaFallback: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second, store, relays := newRelay(t), newRelay(t), &storeSource{}, NewRelays()
+			candidates := []netip.AddrPort{first.address, second.address}
+			if tt.viaFallback {
+				candidates = candidates[:1]
+				relays.SetFallbacks([]netip.AddrPort{second.address})
+				store.err = errors.New("away")
+			}
+			relays.Set(candidates)
+			first.publish(12, map[string]uint64{"a": 5, "b": 12})
+			second.publish(11, tt.older)
+			updates := make(chan follower.Update[string], 16)
+			copied := follower.New("test", NewSource("test", store, relays), func(u follower.Update[string]) { updates <- u },
+				follower.Options{Wait: time.Second, Gate: follower.NewGate()}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go copied.Run(ctx)
+			<-updates
+			first.server.CloseClientConnections()
+			first.server.Close()
+			var last follower.Update[string]
+			for end := time.After(time.Second); ; {
+				select {
+				case last = <-updates:
+					_, fromStore := last.Items["store"]
+					if len(last.Items) != 2 && !fromStore {
+						t.Fatalf("update from the older relay: got %v", last.Items)
+					}
+					continue
+				case <-end:
+				}
+				break
+			}
+			if _, got := last.Items["store"]; got != tt.wantFromStore {
+				t.Errorf("listed from the store: got %v, want %v; last update %v", got, tt.wantFromStore, last.Items)
 			}
 		})
 	}
@@ -138,7 +211,7 @@
 	relays.Set([]netip.AddrPort{r.address})
 	source := NewSource("test", &storeSource{}, relays)
 	r.publish(1, map[string]uint64{"a": 1})
-	if _, _, err := source.List(t.Context()); err != nil {
+	if _, _, err := source.List(t.Context(), acceptAll); err != nil {
 		t.Fatal(err)
 	}
 	for i := range uint64(maxLogChanges + 2) {
@@ -156,9 +229,11 @@
 	release chan struct{}
 }
 
-func (s *waitingSource) Watch(context.Context, uint64, time.Duration) ([]broker.Change[string], uint64, error) {
+func (s *waitingSource) Watch(
+	context.Context, uint64, time.Duration,
+) ([]broker.Change[string], broker.Knowledge, error) {
 	<-s.release
-	return nil, 100, nil
+	return nil, knownNow(100), nil
 }
 
 // TestPollDuringStoreWatch guards against a store watch that misses events unnoticed. The watch starts while no relay
@@ -178,7 +253,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	relays.fail(r.address, time.Now().Add(-2*retryDelay)) // the relay may be used again
-	if _, err := source.Poll(t.Context(), 1, time.Millisecond); err != nil {
+	if _, _, err := source.Poll(t.Context(), 1, time.Millisecond); err != nil {
 		t.Fatal(err)
 	}
 	if got := store.calls.Load(); got != 1 {
@@ -186,7 +261,7 @@
 	}
 	close(store.release)
 	<-watched
-	_, _ = source.Poll(t.Context(), 1, time.Millisecond)
+	_, _, _ = source.Poll(t.Context(), 1, time.Millisecond)
 	if got := store.calls.Load(); got != 1 {
 		t.Errorf("polls of the store after the watch: got %d, want still 1", got)
 	}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -148,7 +148,6 @@
 	mu        sync.Mutex
 	lastRelay netip.AddrPort // relay that gave the last answer
 	position  string         // position in the change log of lastRelay
-	revision  uint64         // highest revision in any answer
 }
 
 // NewSource returns a source of the collection that relays serve under name; direct reads it from the store.
@@ -159,78 +158,82 @@
 // Path returns the URL path of a collection's feed.
 func Path(name string) string { return "/feeds/" + name }
 
-// List returns all items and their revision, if necessary from the last state of a fallback host.
-func (s *Source[T]) List(ctx context.Context) ([]broker.Item[T], uint64, error) {
-	if relay, ok := s.relays.pick(time.Now()); ok {
-		answer, err := s.requestChanges(ctx, relay, "", 0)
-		if err == nil && answer.Full {
-			return answer.Items, s.advance(answer.Revision), nil
+// List returns all items that a relay has, or else the store, or else, as their last state, a fallback host. A relay or
+// fallback whose items accept refuses is passed over.
+func (s *Source[T]) List(
+	ctx context.Context, accept func([]broker.Item[T], broker.Knowledge) bool,
+) ([]broker.Item[T], broker.Knowledge, error) {
+	for relay, ok := s.relays.pick(time.Now()); ok && ctx.Err() == nil; relay, ok = s.relays.pick(time.Now()) {
+		answer, known, err := s.requestChanges(ctx, relay, "", 0, requestSlack)
+		if err != nil {
+			continue
 		}
+		if answer.Full && accept(answer.Items, known) {
+			return answer.Items, known, nil
+		}
+		s.relays.fail(relay, time.Now())
 	}
-	items, revision, err := s.direct.List(ctx)
+	items, known, err := s.direct.List(ctx, accept)
 	if err != nil {
-		if answer, ok := s.requestFallbacks(ctx); ok {
-			return answer.Items, s.advance(answer.Revision), nil
+		if answer, known, ok := s.requestFallbacks(ctx, accept); ok {
+			return answer.Items, known, nil
 		}
 	}
-	return items, s.advance(revision), err
+	return items, known, err
 }
 
 // requestFallbacks returns the last state of a randomly chosen fallback host.
-func (s *Source[T]) requestFallbacks(ctx context.Context) (reply[T], bool) {
+func (s *Source[T]) requestFallbacks(
+	ctx context.Context, accept func([]broker.Item[T], broker.Knowledge) bool,
+) (reply[T], broker.Knowledge, bool) {
 	s.relays.mu.Lock()
 	fallbacks := slices.Clone(s.relays.fallbacks)
 	s.relays.mu.Unlock()
 	rand.Shuffle(len(fallbacks), func(i, k int) { fallbacks[i], fallbacks[k] = fallbacks[k], fallbacks[i] })
 	for _, fallback := range fallbacks[:min(len(fallbacks), maxFallbacks)] {
 		// ctx may have expired while the store did not answer.
-		answer, err := s.request(context.WithoutCancel(ctx), fallback, "old=1", fallbackTimeout)
-		if err == nil && answer.Full {
-			return answer, true
+		answer, known, err := s.request(context.WithoutCancel(ctx), fallback, "old=1", fallbackTimeout)
+		if err == nil && answer.Full && accept(answer.Items, known) {
+			return answer, known, true
 		}
 	}
-	return reply[T]{}, false
-}
-
-// advance returns the highest revision of all answers so far. A relay returns the revision of the last change that it
-// received, which can be lower although it has missed nothing.
-func (s *Source[T]) advance(revision uint64) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision = max(s.revision, revision)
-	return s.revision
+	return reply[T]{}, broker.Knowledge{}, false
 }
 
 // Watch returns the changes after a revision, or an error with ErrRelist after a change of relays.
 func (s *Source[T]) Watch(
 	ctx context.Context, after uint64, wait time.Duration,
-) ([]broker.Change[T], uint64, error) {
+) ([]broker.Change[T], broker.Knowledge, error) {
 	relay, ok := s.relays.pick(time.Now())
 	if !ok {
 		s.watchesStore.Store(true)
-		changes, revision, err := s.direct.Watch(ctx, after, wait)
-		s.watchesStore.Store(false)
-		s.advance(revision)
-		return changes, revision, err
+		defer s.watchesStore.Store(false)
+		return s.direct.Watch(ctx, after, wait)
 	}
 	s.mu.Lock()
 	lastRelay, position := s.lastRelay, s.position
 	s.mu.Unlock()
 	if lastRelay != relay {
-		return nil, 0, &Error{Op: "watch " + s.name, Kind: KindRefused, Err: broker.ErrRelist}
+		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay))
 	}
-	answer, err := s.requestChanges(ctx, relay, position, min(wait, maxWait))
+	wait = min(wait, maxWait)
+	answer, known, err := s.requestChanges(ctx, relay, position, wait, wait+requestSlack)
 	if err != nil {
-		return nil, 0, err
+		return nil, broker.Knowledge{}, err
 	}
 	if answer.Full {
-		return nil, 0, &Error{Op: "watch " + s.name, Kind: KindRefused, Err: broker.ErrRelist}
+		return nil, broker.Knowledge{}, s.relistError(errors.New("the relay no longer has the changes"))
 	}
-	return answer.Changes, s.advance(answer.Revision), nil
+	return answer.Changes, known, nil
+}
+
+// relistError returns an error with ErrRelist.
+func (s *Source[T]) relistError(cause error) error {
+	return &Error{Op: "watch " + s.name, Kind: KindRefused, Err: errors.Wrap(broker.ErrRelist, cause.Error())}
 }
 
 // Poll polls the store while this host follows it. Otherwise it only waits, because the relay polls the store itself.
-func (s *Source[T]) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, error) {
+func (s *Source[T]) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
 	if s.relays.Direct() || s.watchesStore.Load() {
 		return s.direct.Poll(ctx, after, wait)
 	}
@@ -240,43 +243,35 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false, nil
+	return false, time.Time{}, nil
 }
 
 // requestChanges requests the changes since position from a relay, or all items if position is empty or unknown.
 func (s *Source[T]) requestChanges(
-	ctx context.Context, relay netip.AddrPort, position string, wait time.Duration,
-) (reply[T], error) {
-	answer, err := s.request(ctx, relay, fmt.Sprintf("seen=%s&wait=%s", position, wait), wait+requestSlack)
+	ctx context.Context, relay netip.AddrPort, position string, wait, timeout time.Duration,
+) (reply[T], broker.Knowledge, error) {
+	answer, known, err := s.request(ctx, relay, fmt.Sprintf("seen=%s&wait=%s", position, wait), timeout)
 	if err != nil {
 		s.relays.fail(relay, time.Now())
-		return answer, err
+		return answer, known, err
 	}
 	s.mu.Lock()
 	s.lastRelay, s.position = relay, answer.Position
 	s.mu.Unlock()
-	return answer, nil
+	return answer, known, nil
 }
 
-// request sends one request for the collection to a host.
+// request sends one request for the collection to a host. What the host knows counts from the sending of the request,
+// which was not after its arrival.
 func (s *Source[T]) request(
 	ctx context.Context, relay netip.AddrPort, query string, timeout time.Duration,
-) (reply[T], error) {
+) (reply[T], broker.Knowledge, error) {
 	var answer reply[T]
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	op := "read from " + relay.String()
-	url := fmt.Sprintf("http://%s%s?%s", relay, Path(s.name), query)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return answer, &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
-	}
-	data, err := s.relays.exchange(op, request)
-	if err != nil {
-		return answer, err
-	}
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return answer, &Error{Op: op, Kind: KindMalformed, Err: errors.WithStack(err)}
+	sent := time.Now()
+	if err := s.relays.Get(ctx, relay, Path(s.name)+"?"+query, &answer); err != nil {
+		return answer, broker.Knowledge{}, err
 	}
-	return answer, nil
+	return answer, broker.Knowledge{Revision: answer.Revision, At: sent.Add(answer.KnownFor)}, nil
 }
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -28,15 +28,24 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// Knowledge states up to which point a copy of a collection has every change. It passes from host to host with the copy.
+type Knowledge struct {
+	// Revision is the store revision up to which the copy has every change.
+	Revision uint64
+	// At is the time up to which the copy has every change, at the earliest, on the monotonic clock of this process.
+	At time.Time
+}
+
 // Source reads a collection of the platform's store. It skips entries that cannot be decoded.
 type Source[T any] interface {
-	// List returns all items and the store revision at which they were read.
-	List(ctx context.Context) (items []Item[T], at uint64, err error)
-	// Watch returns the changes after a revision as soon as there are any, or no changes after wait.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], at uint64, err error)
+	// List returns all items. It skips copies that are not the store's own and that accept refuses.
+	List(ctx context.Context, accept func(items []Item[T], known Knowledge) bool) (items []Item[T], known Knowledge, err error)
+	// Watch returns the changes after a revision as soon as there are any, or no changes after wait or once the source
+	// has confirmed that there are none.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], known Knowledge, err error)
 	// Poll is an inexpensive watch on data that may be seconds out of date; it only reports whether there were
-	// changes. Like Watch, it fails with ErrHistoryGone.
-	Poll(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error)
+	// changes. Like Watch, it fails with ErrHistoryGone. At is the zero time if the source was not asked.
+	Poll(ctx context.Context, after uint64, wait time.Duration) (changed bool, at time.Time, err error)
 }
 
 // Collection is a source whose objects are written by the hosts.
--- a/internal/forwarder/feed.go
+++ b/internal/forwarder/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
@@ -16,13 +15,6 @@
 	feedHosts    = "hosts"
 )
 
-// maxContactAge is how long after its last contact with the store a host still relays collections. It checks the
-// configuration for changes every second.
-const maxContactAge = 2500 * time.Millisecond
-
-// storeContact returns when the store last answered about the configuration.
-type storeContact struct{ last func() time.Time }
-
 // feeds are the collections that this host relays to others.
 type feeds struct {
 	catalogs *relayer.Feed[*broker.Catalog]
@@ -31,13 +23,20 @@
 	hosts    *relayer.Feed[broker.HostRecord]
 }
 
-func newFeeds(fresh func() bool) feeds {
+func newFeeds(followsStore func() bool) feeds {
 	return feeds{
-		catalogs: relayer.NewFeed[*broker.Catalog](fresh), servers: relayer.NewFeed[broker.Registration](fresh),
-		leaving: relayer.NewFeed[struct{}](fresh), hosts: relayer.NewFeed[broker.HostRecord](fresh),
+		catalogs: relayer.NewFeed[*broker.Catalog](followsStore), servers: relayer.NewFeed[broker.Registration](followsStore),
+		leaving: relayer.NewFeed[struct{}](followsStore), hosts: relayer.NewFeed[broker.HostRecord](followsStore),
 	}
 }
 
+// renewCatalogs records up to which point the configuration is known. The hosts are not polled; that this host reaches
+// the store says enough of them, because probes show which are running.
+func (f feeds) renewCatalogs(known broker.Knowledge) {
+	f.catalogs.Renew(known)
+	f.hosts.Renew(broker.Knowledge{At: known.At})
+}
+
 func (f feeds) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayer.Path(feedCatalogs), f.catalogs)
@@ -46,9 +45,3 @@
 	mux.Handle("GET "+relayer.Path(feedHosts), f.hosts)
 	return mux
 }
-
-// hasFreshContact reports whether this host follows the store itself and reached it within maxContactAge.
-func (f *Forwarder) hasFreshContact() bool {
-	contact := f.contact.Load()
-	return contact != nil && f.relays.Direct() && time.Since(contact.last()) < maxContactAge
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -124,7 +124,6 @@
 	probeNow   chan struct{} // receives when the registered hosts have changed
 	tasks      sync.WaitGroup
 
-	contact     atomic.Pointer[storeContact]
 	reloadable  atomic.Pointer[Settings] // settings as last reloaded
 	createdAt   time.Time
 	lastRequest atomic.Int64 // arrival of the last caller's request, in nanoseconds after createdAt
@@ -155,7 +154,7 @@
 	f.delegates, f.messenger = delegator.New(deps.Settings.Zone), messenger.NewClient(f.set)
 	f.relays = relayer.NewRelays()
 	f.relays.SetFallbacks(deps.Settings.Seeds)
-	f.feeds = newFeeds(f.hasFreshContact)
+	f.feeds = newFeeds(f.relays.Direct)
 	f.quarantine = newQuarantine(f.set, f.logger)
 	f.notices = newNotices(f.set, f.logger, f.tracker.CountNotices)
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
@@ -324,22 +323,20 @@
 		}
 	}
 	watchWait := time.Duration(float64(f.settings.StoreHistory) * watchHistoryShare)
-	fast := follower.Options{
-		Wait: watchWait, Pause: watchPause, PollWait: pollWait, HistoryGone: historyGone, Gate: f.gate,
-	}
-	slow := follower.Options{
-		Wait: watchWait, Pause: serversPause, PollWait: pollWait, HistoryGone: historyGone, Gate: f.gate,
+	options := func(pause, poll time.Duration, renewed func(broker.Knowledge)) follower.Options {
+		return follower.Options{
+			Wait: watchWait, Pause: pause, PollWait: poll, HistoryGone: historyGone, Renewed: renewed, Gate: f.gate,
+		}
 	}
 	catalogs := follower.New(feedCatalogs, relayer.NewSource(feedCatalogs, f.sources.Catalogs, f.relays),
-		f.adoptCatalog, fast, f.set, f.logger)
+		f.adoptCatalog, options(watchPause, pollWait, f.feeds.renewCatalogs), f.set, f.logger)
 	servers := follower.New(feedServers, relayer.NewSource(feedServers, f.sources.Servers, f.relays), f.updateServers,
-		slow, f.set, f.logger)
+		options(serversPause, pollWait, f.feeds.servers.Renew), f.set, f.logger)
 	leaving := follower.New(feedLeaving, relayer.NewSource(feedLeaving, f.sources.Leaving, f.relays), f.updateZonesToLeave,
-		slow, f.set, f.logger)
-	slow.PollWait = 0 // probes also show which hosts are running
+		options(serversPause, pollWait, f.feeds.leaving.Renew), f.set, f.logger)
+	// Probes also show which hosts are running, so hosts need no polls.
 	hosts := follower.New(feedHosts, relayer.NewSource[broker.HostRecord](feedHosts, f.sources.Hosts, f.relays),
-		f.updateHosts, slow, f.set, f.logger)
-	f.contact.Store(&storeContact{catalogs.Contact})
+		f.updateHosts, options(serversPause, 0, f.feeds.hosts.Renew), f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
 	tasks := []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.probeHosts, f.expireServers}
 	if !f.settings.resolvesOnly() {
@@ -367,7 +364,7 @@
 		servers[name] = item.Value
 	}
 	f.registrar.SetServers(servers, update.Listed, time.Now())
-	f.logger.Info("registered servers changed", "at", update.Revision, "servers", len(servers), "removed", update.Removed,
+	f.logger.Info("registered servers changed", "at", update.Known.Revision, "servers", len(servers), "removed", update.Removed,
 		"listed", update.Listed)
 }
 
@@ -378,7 +375,7 @@
 		zones = append(zones, name)
 	}
 	f.registrar.SetZonesToLeave(zones)
-	f.logger.Info("zones to leave changed", "at", update.Revision, "zones", zones)
+	f.logger.Info("zones to leave changed", "at", update.Known.Revision, "zones", zones)
 }
 
 // updateHostShare adjusts connections, retry burst, delegates and role to the hosts that serve callers now.
--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -55,7 +55,7 @@
 	for ctx.Err() == nil {
 		f.gate.Await(ctx)
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		items, _, err := f.sources.Lists.List(callCtx)
+		items, _, err := f.sources.Lists.List(callCtx, nil)
 		cancel()
 		if err != nil {
 			f.logger.Warn("could not read the list of servers", "error", err)
