Leave a relay once what it knows is two seconds old

Cause: the relay's freshness (contact younger than 2.5 s) was checked when a question arrived, which then waited up to 1 s: 3.5 s in all before the host left the relay. The answer did not state its age, so the host could not tell.

Change: answers state up to when the relay's copy has every change (Knowledge.At), relative to the arrival of the question. Both sides end a question 2 s after that time, each by its own clock, and the next relay is asked without a delay. Answers without changes follow a renewal of the relay's knowledge, so there are no more of them than before.

Ruled out: a check at the end of the wait alone, which does not cover a silent relay or the time since the host's last answer; see docs/platform.md.

--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	// MaxAge is the maximum age of what a relay answers with: how long ago its copy had every change.
-	MaxAge = 2500 * time.Millisecond
-	// maxWait is the maximum time that a request waits for changes. It also bounds the time to notice a dead connection.
-	maxWait = time.Second
+	// MaxAge is the maximum age of what a host knows from a relay: how long ago the relay's copy had every change. A
+	// configuration must be in force 3 s after its acknowledgement; the rest of that time is for reading it elsewhere.
+	MaxAge = 2 * time.Second
 	// renewalSpread is the time over which the hosts that wait are told that there are no changes, so that a relay does not
 	// answer all of them at the same moment.
 	renewalSpread = 200 * time.Millisecond
@@ -123,11 +122,11 @@
 	arrived := time.Now()
 	position, allowOld := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	timeout := time.NewTimer(min(wait, maxWait))
+	timeout := time.NewTimer(min(wait, MaxAge))
 	defer timeout.Stop()
-	for renewed, ended, checked := false, false, false; ; checked = true {
+	for renewed, ended := false, false; ; {
 		state, ok := f.read(position)
-		if !ok || !allowOld && !checked && !f.isCurrent(state.known) {
+		if !ok || !allowOld && !f.isCurrent(state.known) {
 			http.Error(w, "this host is not following the store", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -266,3 +266,61 @@
 		t.Errorf("polls of the store after the watch: got %d, want still 1", got)
 	}
 }
+
+// TestOldRelay guards against a host that takes what a relay knows for current for too long: a relay that has lost the
+// store or ends, wherever the question to it stands.
+func TestOldRelay(t *testing.T) {
+	// A configuration must be in force within 3 s, of which 500 ms are for listing it elsewhere.
+	const limit = 2500 * time.Millisecond
+	tests := []struct {
+		name      string
+		age       time.Duration // of what the relay knows when it is listed
+		renewed   bool          // the relay learns that there are no changes
+		silent    bool          // the relay does not answer questions after the listing
+		wantError bool
+	}{
+		{name: "lost the store", age: MaxAge - 200*time.Millisecond, wantError: true},
+		{name: "lost the store earlier", age: MaxAge - 700*time.Millisecond, wantError: true},
+		{name: "silent", age: MaxAge / 2, silent: true, wantError: true},
+		{name: "renewed", age: MaxAge / 2, renewed: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, relays := newRelay(t), NewRelays()
+			relays.Set([]netip.AddrPort{r.address})
+			source := NewSource("test", &storeSource{}, relays)
+			r.feed.Publish(follower.Update[string]{
+				Items: map[string]broker.Item[string]{"a": {Name: "a", Revision: 5}},
+				Known: broker.Knowledge{Revision: 5, At: time.Now().Add(-tt.age)},
+			})
+			_, listed, err := source.List(t.Context(), acceptAll)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := time.Since(listed.At), tt.age; got < want {
+				t.Errorf("age of the listing: got %s, want at least %s", got, want)
+			}
+			if tt.silent {
+				r.server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			}
+			if tt.renewed {
+				time.AfterFunc(100*time.Millisecond, func() { r.feed.Renew(knownNow(5)) })
+			}
+			for {
+				_, known, err := source.Watch(t.Context(), listed.Revision, 15*time.Second)
+				if age := time.Since(listed.At); age > limit {
+					t.Fatalf("age of what was last known: got %s, want at most %s", age, limit)
+				}
+				if (err != nil) != tt.wantError && (err != nil || tt.renewed) {
+					t.Fatalf("Watch(): got error %v, want one: %v", err, tt.wantError)
+				}
+				if err != nil || tt.renewed {
+					if tt.renewed && time.Since(known.At) > MaxAge/2 {
+						t.Errorf("age after the renewal: got %s, want at most %s", time.Since(known.At), MaxAge/2)
+					}
+					return
+				}
+			}
+		})
+	}
+}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -24,8 +24,10 @@
 const (
 	// retryDelay is how long a relay is not used after a failure.
 	retryDelay = 5 * time.Second
-	// requestSlack is how much longer than its wait a request may take.
-	requestSlack = 600 * time.Millisecond
+	// requestSlack is how much longer than its wait a request may take. Requests for changes may not take longer than
+	// MaxAge after the time up to which the last answer has all of them, but at least minRequestTime.
+	requestSlack   = 600 * time.Millisecond
+	minRequestTime = 300 * time.Millisecond
 	// At most maxFallbacks hosts are asked for their last state, each with fallbackTimeout.
 	maxFallbacks    = 3
 	fallbackTimeout = 300 * time.Millisecond
@@ -148,6 +150,7 @@
 	mu        sync.Mutex
 	lastRelay netip.AddrPort // relay that gave the last answer
 	position  string         // position in the change log of lastRelay
+	knownAt   time.Time      // time up to which the last answer of lastRelay has every change
 }
 
 // NewSource returns a source of the collection that relays serve under name; direct reads it from the store.
@@ -211,15 +214,18 @@
 		return s.direct.Watch(ctx, after, wait)
 	}
 	s.mu.Lock()
-	lastRelay, position := s.lastRelay, s.position
+	lastRelay, position, knownAt := s.lastRelay, s.position, s.knownAt
 	s.mu.Unlock()
 	if lastRelay != relay {
 		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay))
 	}
-	wait = min(wait, maxWait)
-	answer, known, err := s.requestChanges(ctx, relay, position, wait, wait+requestSlack)
+	timeout := max(time.Until(knownAt.Add(MaxAge)), minRequestTime)
+	answer, known, err := s.requestChanges(ctx, relay, position, min(wait, timeout), timeout)
 	if err != nil {
-		return nil, broker.Knowledge{}, err
+		if s.relays.Direct() {
+			return nil, broker.Knowledge{}, err
+		}
+		return nil, broker.Knowledge{}, s.relistError(err) // the next relay need not be waited for
 	}
 	if answer.Full {
 		return nil, broker.Knowledge{}, s.relistError(errors.New("the relay no longer has the changes"))
@@ -251,12 +257,15 @@
 	ctx context.Context, relay netip.AddrPort, position string, wait, timeout time.Duration,
 ) (reply[T], broker.Knowledge, error) {
 	answer, known, err := s.request(ctx, relay, fmt.Sprintf("seen=%s&wait=%s", position, wait), timeout)
+	if err == nil && time.Since(known.At) >= MaxAge {
+		err = &Error{Op: "read from " + relay.String(), Kind: KindRefused, Err: errors.New("what the relay knows is too old")}
+	}
 	if err != nil {
 		s.relays.fail(relay, time.Now())
 		return answer, known, err
 	}
 	s.mu.Lock()
-	s.lastRelay, s.position = relay, answer.Position
+	s.lastRelay, s.position, s.knownAt = relay, answer.Position, known.At
 	s.mu.Unlock()
 	return answer, known, nil
 }
