Bound answers without end by the memory of the process

What callers would see: a host whose servers send bytes without end exceeds its memory, and with the process the requests of all its clients end. 359 MiB were seen on a machine of 284.

Cause: a body grew by copies and only its bytes were counted (93 to 109 MiB live for 48 MiB counted), the collector allowed as much garbage again (heap of 218 MiB), connections had up to 62 MiB received and not read, and the limit did not depend on the machine. Parsed heads were not counted.

Change: bodies are received in chunks that count whole; long heads count with their parsed size; all together may take 1/16 of memory_mb, what exceeds 32 KiB of an answer half of that. Receive buffers of 64 KiB; garbage is collected at once above 60 %.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -48,9 +49,16 @@
 	}
 }
 
+// collectedShare is the part of a process's memory, in percent, above which garbage is collected at once. The rest is for
+// bytes in the buffers of connections, which count as memory of the process too.
+const collectedShare = 60
+
 func runHost(
 	ctx context.Context, settings platform.Settings, load func() (platform.Settings, error), level slog.Level,
 ) error {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(settings.Memory / 100 * collectedShare)
+	}
 	set := metrics.NewSet()
 	log := logger.New(os.Stdout, level, set)
 	defer log.Close()
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -18,6 +18,9 @@
 const (
 	// maxHeaderBytes is the maximum size of the header of an answer, including informational answers before it.
 	maxHeaderBytes = 64 << 10
+	// receiveBuffer is the size of the operating system's buffer for received bytes of a connection. A process's memory
+	// includes them, and a server that sends without end fills a buffer of any size.
+	receiveBuffer = 64 << 10
 	// maxDrainBytes is how many bytes are read from a connection that is being closed.
 	maxDrainBytes = 64 << 10
 )
@@ -40,7 +43,8 @@
 	permit       func() bool
 	bytesWritten int
 	bytesRead    int
-	readLimit    int // maximum bytes to read in the current exchange
+	readLimit    int      // maximum bytes to read in the current exchange
+	head         *holding // memory of the head that is being read, or nil
 
 	mu          sync.Mutex
 	interrupted bool
@@ -48,21 +52,30 @@
 }
 
 func newConn(socket net.Conn) *conn {
+	if buffered, ok := socket.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = buffered.SetReadBuffer(receiveBuffer) // without it, only more bytes can be received and not read
+	}
 	c := &conn{Conn: socket, remote: socket.RemoteAddr().String()}
 	c.reader = bufio.NewReaderSize(c, 8<<10)
 	c.writer = bufio.NewWriterSize(c, 8<<10)
 	return c
 }
 
-// startRequest resets the state of the connection for a new request.
-func (c *conn) startRequest(permit func() bool, readLimit int) {
-	c.permit, c.bytesWritten, c.bytesRead, c.readLimit = permit, 0, 0, readLimit
+// startRequest resets the state of the connection for a new request, whose answer has at most maxHead bytes of head.
+func (c *conn) startRequest(permit func() bool, maxHead int, held *holding) {
+	c.permit, c.bytesWritten, c.bytesRead, c.readLimit, c.head = permit, 0, 0, maxHead, held
 	c.writer.Reset(c)
 	c.mu.Lock()
 	c.interrupted = false
 	c.mu.Unlock()
 }
 
+// startBody begins the reading of a body of at most maxBody bytes.
+func (c *conn) startBody(maxBody int) {
+	c.head = nil
+	c.readLimit += maxBody
+}
+
 // Write calls permit before the first byte of a request and fails if permit returns false.
 func (c *conn) Write(data []byte) (int, error) {
 	if c.bytesWritten == 0 && c.permit != nil && !c.permit() {
@@ -73,11 +86,19 @@
 	return n, err
 }
 
-// Read fails once readLimit bytes of the answer have been read.
+// Read fails once readLimit bytes of the answer have been read, or if there is no memory for a long head.
 func (c *conn) Read(data []byte) (int, error) {
 	if c.bytesRead >= c.readLimit {
 		return 0, errTooLarge
 	}
+	if c.head != nil {
+		data = data[:min(len(data), headReadSize)]
+		if c.bytesRead >= headReadSize {
+			if err := c.head.add(headFactor * int64(len(data))); err != nil {
+				return 0, err
+			}
+		}
+	}
 	n, err := c.Conn.Read(data)
 	c.bytesRead += n
 	return n, err
--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,18 +22,33 @@
 	FirstByteTimeout time.Duration
 	// MaxAnswerBytes is the maximum size of the body of an answer.
 	MaxAnswerBytes int
-	// MaxBufferedBytes is the maximum size of all bodies that are being received, in bytes. Faulty servers may send
-	// without end, many at once.
+	// MaxBufferedBytes is the memory of all answers that are being received, in bytes. Faulty servers may send without
+	// end, many at once.
 	MaxBufferedBytes int64
 	// Dial opens TCP connections; nil selects a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// DefaultOptions returns the options for production.
+// DefaultOptions returns the options for production on a host whose memory is not limited.
 func DefaultOptions() Options {
 	return Options{FirstByteTimeout: 500 * time.Millisecond, MaxAnswerBytes: 8 << 20, MaxBufferedBytes: 48 << 20}
 }
 
+const (
+	// bufferedShare is the part of a process's memory that answers take while they are being received. Garbage may add as
+	// much again, and connections and all other state take the rest.
+	bufferedShare = 16
+	// answersInBuffer is the number of complete answers of the maximum size that fit in: only half of the buffer is for large
+	// answers, which exist twice while they are put together.
+	answersInBuffer = 4
+)
+
+// LimitMemory reduces the limits to what a process with the given memory in bytes can hold.
+func (o *Options) LimitMemory(memory int64) {
+	o.MaxBufferedBytes = min(o.MaxBufferedBytes, memory/bufferedShare)
+	o.MaxAnswerBytes = min(o.MaxAnswerBytes, int(o.MaxBufferedBytes/answersInBuffer))
+}
+
 // counters are the metrics of this package.
 type counters struct {
 	opened, closed, dialsFailed, silent *metrics.Counter
@@ -45,7 +59,7 @@
 	options  Options
 	dial     dialFunc
 	counters *counters
-	buffered atomic.Int64 // bytes of bodies that are being received
+	budget   budget // of answers that are being received
 	pools    *holder.Holder[map[broker.ServerName]*pool]
 }
 
@@ -59,6 +73,7 @@
 	return &Dispatcher{
 		options: options,
 		dial:    options.Dial,
+		budget:  budget{limit: options.MaxBufferedBytes},
 		counters: &counters{
 			opened:      set.GetOrCreateCounter("yuccarock_backend_connections_opened_total"),
 			closed:      set.GetOrCreateCounter("yuccarock_backend_connections_closed_total"),
--- a/internal/broker/transport/dispatcher/endless_test.go
+++ b/internal/broker/transport/dispatcher/endless_test.go
@@ -118,7 +118,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
 			defer cancel()
 			started := time.Now()
-			peak := watchPeak(t, &d.buffered)
+			peak := watchPeak(t, &d.budget.used)
 			var exchanges sync.WaitGroup
 			for i := range servers {
 				exchanges.Go(func() {
@@ -146,7 +146,7 @@
 			if got, want := peak(), options.MaxBufferedBytes; got > want {
 				t.Errorf("bytes buffered at once: got %d, want at most %d", got, want)
 			}
-			if got := d.buffered.Load(); got != 0 {
+			if got := d.budget.used.Load(); got != 0 {
 				t.Errorf("bytes that count as buffered afterwards: got %d, want 0", got)
 			}
 		})
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -50,9 +49,11 @@
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
 	e.reused, e.outages = c.reused, int(p.outages.Load())
-	c.startRequest(e.permit, maxHeaderBytes)
+	held := &holding{budget: &d.budget}
+	defer held.release()
+	c.startRequest(e.permit, maxHeaderBytes, held)
 	stop := context.AfterFunc(ctx, c.interrupt)
-	answer, keep, err := d.roundTrip(ctx, c, e)
+	answer, keep, err := d.roundTrip(ctx, c, e, held)
 	c.used = true
 	e.sent = e.sent || c.bytesWritten > 0
 	e.bytesReceived += c.bytesRead
@@ -80,7 +81,9 @@
 }
 
 // roundTrip writes the request and reads the complete answer; keep reports whether the connection can be reused.
-func (d *Dispatcher) roundTrip(ctx context.Context, c *conn, e *exchange) (answer *reply, keep bool, err error) {
+func (d *Dispatcher) roundTrip(
+	ctx context.Context, c *conn, e *exchange, held *holding,
+) (answer *reply, keep bool, err error) {
 	written, err := e.writeRequest(ctx, c)
 	if err != nil {
 		return nil, false, classify(ctx, c, "send request", err)
@@ -94,21 +97,15 @@
 	if err != nil {
 		return nil, false, classify(ctx, c, "read answer", err)
 	}
-	defer func() { _ = response.Body.Close() }() // that of the response, before it is limited below
+	defer func() { _ = response.Body.Close() }()
 	if response.ContentLength > int64(d.options.MaxAnswerBytes) {
 		return nil, false, &Error{Op: "read answer", Kind: KindTooLarge}
 	}
-	c.readLimit += d.options.MaxAnswerBytes
-	buffered := &bufferedReader{from: response.Body, total: &d.buffered, limit: d.options.MaxBufferedBytes}
-	defer buffered.release()
-	response.Body = buffered
-	body, err := readBody(response, int64(d.options.MaxAnswerBytes)+1)
+	c.startBody(d.options.MaxAnswerBytes)
+	body, err := readBody(response, d.options.MaxAnswerBytes, held)
 	if err != nil {
 		return nil, false, classify(ctx, c, "read answer", err)
 	}
-	if len(body) > d.options.MaxAnswerBytes {
-		return nil, false, &Error{Op: "read answer", Kind: KindTooLarge}
-	}
 	keep = !response.Close
 	select {
 	case err := <-written:
@@ -227,17 +224,6 @@
 	}
 }
 
-// readBody reads at most limit bytes of the body. It allocates a buffer of the stated size only if that is below
-// maxPresizedBody, so that a server that states a large size and sends less does not cost the memory.
-func readBody(response *http.Response, limit int64) ([]byte, error) {
-	if size := response.ContentLength; size >= 0 && size < min(limit, maxPresizedBody) {
-		body := make([]byte, size)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(response.Body, limit))
-}
-
 // classify wraps an error on a connection in an Error of the matching kind.
 func classify(ctx context.Context, c *conn, op string, err error) error {
 	c.mu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -145,6 +145,9 @@
 	})
 	options := dispatcher.DefaultOptions()
 	options.Dial = deps.Dial
+	if deps.Settings.Memory > 0 {
+		options.LimitMemory(deps.Settings.Memory)
+	}
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zone, deps.Settings.Zones)
 	if f.settings.resolvesOnly() {
