Answer hosts without changes by what they know already

Cause: a relay answered once its knowledge was renewed after the arrival of the question. A question that arrived just after a renewal waited a second for the next one, while the host's own knowledge, a second older, reached its limit.

Change: questions state the age of what the host knows, and a relay answers when its own is half a second newer. The poll after a change begins as soon as the watch has reported it, in place of after a fixed pause.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -33,6 +33,8 @@
 	maxBackoff = 400 * time.Millisecond
 	// watchGrace is how long the watch may take to report a change that a poll has reported.
 	watchGrace = 300 * time.Millisecond
+	// watchCheckInterval is the pause between checks whether the watch has reported it.
+	watchCheckInterval = 50 * time.Millisecond
 )
 
 // Options configure a Follower.
@@ -255,8 +257,10 @@
 			f.renew(at)
 		default:
 			// The watch normally reports the change at the same time.
-			waiter.Wait(ctx, f.options.Pause+watchGrace)
-			if f.current.Load() == revision {
+			for end := time.Now().Add(f.options.Pause + watchGrace); f.current.Load() == revision && time.Now().Before(end); {
+				waiter.Wait(ctx, watchCheckInterval)
+			}
+			if f.current.Load() == revision && ctx.Err() == nil {
 				f.logger.Info("the watch missed a change; listing the collection again", "at", revision)
 				f.Refresh()
 				waiter.Wait(ctx, f.options.PollWait)
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -20,6 +20,9 @@
 	// MaxAge is the maximum age of what a host knows from a relay: how long ago the relay's copy had every change. A
 	// configuration must be in force 3 s after its acknowledgement; the rest of that time is for reading it elsewhere.
 	MaxAge = 2 * time.Second
+	// minRenewal is by how much what a relay knows has to be newer than what the host knows for an answer without changes.
+	// Relays learn each second that there are none.
+	minRenewal = 500 * time.Millisecond
 	// renewalSpread is the time over which the hosts that wait are told that there are no changes, so that a relay does not
 	// answer all of them at the same moment.
 	renewalSpread = 200 * time.Millisecond
@@ -116,12 +119,14 @@
 }
 
 // ServeHTTP answers with the changes since the position in the query, or with all items if the log no longer has them.
-// Without changes it waits for one up to the time in the query, or until it is known that there were none since the
-// request arrived. A request with the parameter old is answered even if what this host knows is old.
+// Without changes it waits for one up to the time in the query, or until this host knows the collection up to a later time
+// than the client, whose age is in the query. A request with the parameter old is answered even if what this host knows
+// is old.
 func (f *Feed[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	position, allowOld := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	age, _ := time.ParseDuration(r.URL.Query().Get("age"))
 	timeout := time.NewTimer(min(wait, MaxAge))
 	defer timeout.Stop()
 	for renewed, ended := false, false; ; {
@@ -135,7 +140,7 @@
 			f.write(w, state.reply)
 			return
 		}
-		if !renewed && state.known.At.After(arrived) {
+		if !renewed && state.known.At.Sub(arrived.Add(-age)) >= minRenewal {
 			renewed = true
 			timeout.Reset(rand.N(renewalSpread))
 		}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -167,7 +167,7 @@
 	ctx context.Context, accept func([]broker.Item[T], broker.Knowledge) bool,
 ) ([]broker.Item[T], broker.Knowledge, error) {
 	for relay, ok := s.relays.pick(time.Now()); ok && ctx.Err() == nil; relay, ok = s.relays.pick(time.Now()) {
-		answer, known, err := s.requestChanges(ctx, relay, "", 0, requestSlack)
+		answer, known, err := s.requestChanges(ctx, relay, "", requestSlack)
 		if err != nil {
 			continue
 		}
@@ -220,7 +220,8 @@
 		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay))
 	}
 	timeout := max(time.Until(knownAt.Add(MaxAge)), minRequestTime)
-	answer, known, err := s.requestChanges(ctx, relay, position, min(wait, timeout), timeout)
+	query := fmt.Sprintf("seen=%s&age=%s&wait=%s", position, time.Since(knownAt), min(wait, timeout))
+	answer, known, err := s.requestChanges(ctx, relay, query, timeout)
 	if err != nil {
 		if s.relays.Direct() {
 			return nil, broker.Knowledge{}, err
@@ -252,11 +253,11 @@
 	return false, time.Time{}, nil
 }
 
-// requestChanges requests the changes since position from a relay, or all items if position is empty or unknown.
+// requestChanges requests the changes since the position in the query from a relay, or all items without one.
 func (s *Source[T]) requestChanges(
-	ctx context.Context, relay netip.AddrPort, position string, wait, timeout time.Duration,
+	ctx context.Context, relay netip.AddrPort, query string, timeout time.Duration,
 ) (reply[T], broker.Knowledge, error) {
-	answer, known, err := s.request(ctx, relay, fmt.Sprintf("seen=%s&wait=%s", position, wait), timeout)
+	answer, known, err := s.request(ctx, relay, query, timeout)
 	if err == nil && time.Since(known.At) >= MaxAge {
 		err = &Error{Op: "read from " + relay.String(), Kind: KindRefused, Err: errors.New("what the relay knows is too old")}
 	}
