Choose servers after the body has been read, and anew for late attempts

Cause: a request took its view of configuration and servers before it read the body and kept it for all attempts.

Change: the view is taken after the body. Attempts that begin over 1 s later go to servers of the current view that are not draining.

Ruled out: the current view for every attempt, which would refuse a hedge to the only other server in the 3 s for which it still serves.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -26,6 +26,19 @@
 	return to, to.instance != nil && to.server != nil
 }
 
+// maxViewAge is how long a request uses the servers of the view that it began with. Requests must leave a server within 3 s
+// after it is draining or gone.
+const maxViewAge = time.Second
+
+// receiver returns the server with the given name, or false if it is not registered or, for a late attempt, leaving.
+func (s *session) receiver(name broker.ServerName) (receiver, bool) {
+	if time.Since(s.viewedAt) < maxViewAge {
+		return s.forwarder.receiver(s.view, name)
+	}
+	to, ok := s.forwarder.receiver(s.forwarder.registrar.View(), name)
+	return to, ok && !to.instance.Draining
+}
+
 // exchangeResult is the result of one exchange with a backend server.
 type exchangeResult struct {
 	broker.Classification
@@ -97,7 +110,7 @@
 }
 
 func (s *session) startAttempt(ctx context.Context, sub *broker.SubRequest) {
-	to, ok := s.forwarder.receiver(s.view, sub.Server)
+	to, ok := s.receiver(sub.Server)
 	if !ok {
 		s.inbox <- arrival{results: []attemptResult{{answer: scatterer.NotSent(sub)}}}
 		return
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -51,7 +51,7 @@
 	if s.route.Scatter() && len(sends) > 1 {
 		subRequests := make([]delegator.SubRequest, len(sends))
 		for i, send := range sends {
-			if to, ok := s.forwarder.receiver(s.view, send.Sub.Server); ok {
+			if to, ok := s.receiver(send.Sub.Server); ok {
 				subRequests[i] = delegator.SubRequest{Zone: to.instance.Zone, First: send.Sub.Attempt == 1}
 			}
 		}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -63,6 +63,7 @@
 		f.refuse(w, r, request.ID, *failure)
 		return
 	}
+	view = f.registrar.View() // a slow body takes seconds, in which servers leave
 	entry := view.Routes.Match(request.Host, request.Path)
 	if entry == nil {
 		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
@@ -89,7 +90,7 @@
 	ctx, span := f.tracer.Start(r.Context(), "entry.request", attribute.String("route", entry.Name))
 	defer span.End()
 	session := &session{
-		forwarder: f, view: view, route: entry.Route, kind: kind, request: request,
+		forwarder: f, view: view, viewedAt: time.Now(), route: entry.Route, kind: kind, request: request,
 		started: started, deadline: deadline,
 	}
 	session.answer(ctx, w)
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -50,6 +50,7 @@
 type session struct {
 	forwarder *Forwarder
 	view      *registrar.View
+	viewedAt  time.Time
 	route     *broker.Route
 	kind      string
 	request   *broker.OpaqueRequest
