Give removed servers a grace only after an outage that can expire them

Cause: a server that is missing from a listing stays usable for 2.2 s, because entries expire while the store is away. A listing that only followed a change of relays got the grace too, 2 s after the relay went silent.

Change: updates state how long changes may have been missed and whether the store could not be read since. Without a failure, the grace needs a gap of two heartbeats.

Ruled out: the gap alone (TestStoreOutage: a host can learn of an outage from one follower only, whatever its length), and failures of the collection's own follower alone (it may pause during a short outage).

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -60,6 +60,10 @@
 	Known broker.Knowledge
 	// Listed reports whether the state comes from a listing, before which changes may have been missed.
 	Listed bool
+	// Gap is the time between what the previous state and a listing are known up to, zero without a previous state, and
+	// Failed whether a collection of the store could not be read since then.
+	Gap    time.Duration
+	Failed bool
 	// Removed are the names of the items that the previous state had and this one does not.
 	Removed []string
 }
@@ -351,10 +355,16 @@
 func (f *Follower[T]) publish(
 	items map[string]broker.Item[T], known broker.Knowledge, listed bool, removed []string,
 ) {
+	var gap time.Duration
+	failed := false
+	if listed && f.loaded {
+		previous := f.Known().At
+		gap, failed = max(known.At.Sub(previous), 0), f.options.Gate.failedSince(previous)
+	}
 	f.items, f.revision, f.loaded = items, known.Revision, true
 	f.current.Store(known.Revision)
 	f.updates.Inc()
-	f.apply(Update[T]{Items: items, Known: known, Listed: listed, Removed: removed})
+	f.apply(Update[T]{Items: items, Known: known, Listed: listed, Gap: gap, Failed: failed, Removed: removed})
 	f.renew(known.At)
 }
 
--- a/internal/broker/coordination/follower/gate.go
+++ b/internal/broker/coordination/follower/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Gate limits the calls of several followers to a store that does not answer: one follower probes the store, and the
@@ -12,6 +13,7 @@
 	unavailable bool
 	probing     bool          // a follower is probing the store
 	available   chan struct{} // closed when the store answers again
+	failedAt    time.Time     // of the last failed call
 }
 
 // NewGate returns an open gate.
@@ -68,7 +70,14 @@
 func (g *Gate) failed() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unavailable = true
+	g.unavailable, g.failedAt = true, time.Now()
+}
+
+// failedSince reports whether a call has failed after a time.
+func (g *Gate) failedSince(at time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failedAt.After(at)
 }
 
 // answered records an answered call.
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -111,10 +111,21 @@
 	return true
 }
 
-// SetServers replaces the registered servers by ID. If listed is set, servers is a full list and missing entries may
-// have expired while the store was unavailable, so their servers stay usable for a grace. Otherwise a missing entry was
-// removed.
-func (r *Registrar) SetServers(servers map[string]broker.Registration, listed bool, now time.Time) {
+// Origin is how the registered servers became known.
+type Origin uint8
+
+const (
+	// FromChanges is the origin of servers that became known by changes: a missing entry was removed.
+	FromChanges Origin = iota
+	// FromListing is the origin of a full list that follows the previous state closely: a missing entry was removed.
+	FromListing
+	// FromListingAfterOutage is the origin of a full list after a time in which the store may have been unavailable, so that
+	// missing entries may have expired. Their servers stay usable for a grace.
+	FromListingAfterOutage
+)
+
+// SetServers replaces the registered servers by ID.
+func (r *Registrar) SetServers(servers map[string]broker.Registration, origin Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := make(map[string]serverEntry, len(servers))
@@ -128,12 +139,12 @@
 		delete(r.missing, id)
 	}
 	for id, entry := range r.servers {
-		if _, ok := next[id]; !ok && listed && !entry.Draining {
+		if _, ok := next[id]; !ok && origin == FromListingAfterOutage && !entry.Draining {
 			r.missingUntil[id], r.missing[id] = now.Add(expiryGrace), entry
 		}
 	}
 	r.servers = next
-	if listed {
+	if origin != FromChanges {
 		r.dropDeparted()
 	}
 	r.dropExpired(now)
--- a/internal/broker/state/registrar/registrar_test.go
+++ b/internal/broker/state/registrar/registrar_test.go
@@ -67,7 +67,7 @@
 				if listFirst {
 					r.RestoreServers(list, now)
 				}
-				r.SetServers(registered, true, now)
+				r.SetServers(registered, FromListingAfterOutage, now)
 				if !listFirst {
 					r.RestoreServers(list, now)
 				}
@@ -117,7 +117,7 @@
 			for _, each := range tt.servers {
 				servers[each.ID] = each
 			}
-			r.SetServers(servers, true, time.Unix(1_800_000_000, 0))
+			r.SetServers(servers, FromListingAfterOutage, time.Unix(1_800_000_000, 0))
 			if got := r.View().Locality; !maps.Equal(got, tt.want) {
 				t.Errorf("locality: got %v, want %v", got, tt.want)
 			}
@@ -150,7 +150,7 @@
 		r.Adopt(&broker.Catalog{Version: 1})
 		r.SetServers(map[string]broker.Registration{
 			"1": {ID: "1", Service: "s1", Zone: "a"}, "2": {ID: "2", Service: "s1", Zone: "b"},
-		}, true, time.Unix(1_800_000_000, 0))
+		}, FromListingAfterOutage, time.Unix(1_800_000_000, 0))
 		r.SetRole(tt.role)
 		if !maps.Equal(sink.idle, tt.want) {
 			t.Errorf("idle connections of role %d: got %v, want %v", tt.role, sink.idle, tt.want)
--- a/internal/forwarder/delegate_test.go
+++ b/internal/forwarder/delegate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
+	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
 )
 
 // TestRunPart guards against requests that a delegate sends to a server that is draining, in a zone to leave or not
@@ -33,7 +34,7 @@
 				server.ID, server.Service, server.Address = id, "s1", netip.MustParseAddrPort("127.0.0.1:1")
 				tt.servers[id] = server
 			}
-			f.registrar.SetServers(tt.servers, true, time.Now())
+			f.registrar.SetServers(tt.servers, registrar.FromListingAfterOutage, time.Now())
 			f.registrar.SetZonesToLeave(tt.leaving)
 			part := f.runPart(t.Context(), &broker.OpaqueRequest{}, f.registrar.View(), 0, "i-1", time.Now().Add(time.Second))
 			if got := part.Reason != broker.ReasonNoReplica; got != tt.wantSent || part.Outcome != broker.OutcomeNotRun {
@@ -57,7 +58,7 @@
 	address := netip.MustParseAddrPort("127.0.0.1:1")
 	f.registrar.SetServers(map[string]broker.Registration{
 		"i-1": {ID: "i-1", Service: "s1", Zone: "b", Address: address},
-	}, true, time.Now())
+	}, registrar.FromListingAfterOutage, time.Now())
 	view := f.registrar.View()
 	sub := &broker.SubRequest{Shard: "s1", Server: "i-1", Attempt: 1}
 	to, ok := f.receiver(view, "i-1")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -366,9 +366,22 @@
 	for name, item := range update.Items {
 		servers[name] = item.Value
 	}
-	f.registrar.SetServers(servers, update.Listed, time.Now())
+	f.registrar.SetServers(servers, f.origin(update), time.Now())
 	f.logger.Info("registered servers changed", "at", update.Known.Revision, "servers", len(servers), "removed", update.Removed,
-		"listed", update.Listed)
+		"listed", update.Listed, "gap", update.Gap, "failed", update.Failed)
+}
+
+// origin returns how the servers of an update became known. A server that writes its entry each heartbeat can lose it to
+// an outage of the store only after two of them, because an entry lives for three.
+func (f *Forwarder) origin(update follower.Update[broker.Registration]) registrar.Origin {
+	switch {
+	case !update.Listed:
+		return registrar.FromChanges
+	case !update.Failed && update.Gap < 2*f.settings.Heartbeat:
+		return registrar.FromListing
+	default:
+		return registrar.FromListingAfterOutage
+	}
 }
 
 func (f *Forwarder) updateZonesToLeave(update follower.Update[struct{}]) {
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -24,6 +24,8 @@
 	Seeds []netip.AddrPort
 	// Capacity is the processor capacity of the host, in cores.
 	Capacity float64
+	// Heartbeat is how often each backend server writes its entry, zero if unknown.
+	Heartbeat time.Duration
 	// Memory is the memory that this process may use, in bytes; zero means no limit.
 	Memory int64
 	// StoreHistory is how long the store keeps its history.
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -44,7 +44,7 @@
 	h.tracker = tracker.New()
 	h.registrar = registrar.New(h.tracker, discardSink{}, sim.scenario.Zones[h.zone], sim.scenario.Zones)
 	h.registrar.Adopt(sim.catalog)
-	h.registrar.SetServers(sim.registrations, true, sim.clock.time())
+	h.registrar.SetServers(sim.registrations, registrar.FromListing, sim.clock.time())
 	h.registrar.SetHostCount(len(sim.hosts))
 	share, burst := budgeter.HostShare(sim.scenario.RetryShare), budgeter.HostBurst(sim.scenario.RetrySlack, len(sim.hosts))
 	if sim.policy.NoExtraAttempts {
