Set the revision of a copy after its update has been applied

Cause, found by reading: a follower set the revision that its poll reads before it applied the update. A poll that ended in between could renew a feed's previous state with the new revision, which other hosts would then take for current. Change: the revision is set after the update.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -362,9 +362,9 @@
 		gap, failed = max(known.At.Sub(previous), 0), f.options.Gate.failedSince(previous)
 	}
 	f.items, f.revision, f.loaded = items, known.Revision, true
-	f.current.Store(known.Revision)
 	f.updates.Inc()
 	f.apply(Update[T]{Items: items, Known: known, Listed: listed, Gap: gap, Failed: failed, Removed: removed})
+	f.current.Store(known.Revision) // after apply, so that a concurrent poll does not renew the previous state with it
 	f.renew(known.At)
 }
 
