--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// MaxAge is the maximum age of what a host knows from a relay: how long ago the relay's copy had every change. A
+	// maxAge is the maximum age of what a host knows from a relay: how long ago the relay's copy had every change. A
 	// configuration must be in force 3 s after its acknowledgement; the rest of that time is for reading it elsewhere.
-	MaxAge = 2 * time.Second
+	maxAge = 2 * time.Second
 	// minRenewal is by how much what a relay knows has to be newer than what the host knows for an answer without changes.
 	// Relays learn each second that there are none.
 	minRenewal = 500 * time.Millisecond
@@ -57,7 +57,7 @@
 }
 
 // NewFeed returns an empty feed. It refuses requests until the first Publish, while followsStore returns false, and while
-// what it knows is older than MaxAge.
+// what it knows is older than maxAge.
 func NewFeed[T any](followsStore func() bool) *Feed[T] {
 	return &Feed[T]{followsStore: followsStore, process: uuid.NewString(), changed: make(chan struct{})}
 }
@@ -127,7 +127,7 @@
 	position, allowOld := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	age, _ := time.ParseDuration(r.URL.Query().Get("age"))
-	timeout := time.NewTimer(min(wait, MaxAge))
+	timeout := time.NewTimer(min(wait, maxAge))
 	defer timeout.Stop()
 	for renewed, ended := false, false; ; {
 		state, ok := f.read(position)
@@ -154,9 +154,9 @@
 	}
 }
 
-// isCurrent reports whether this host follows the store itself and knows of every change up to MaxAge ago.
+// isCurrent reports whether this host follows the store itself and knows of every change up to maxAge ago.
 func (f *Feed[T]) isCurrent(known broker.Knowledge) bool {
-	return f.followsStore() && time.Since(known.At) < MaxAge
+	return f.followsStore() && time.Since(known.At) < maxAge
 }
 
 func (f *Feed[T]) write(w http.ResponseWriter, answer reply[T]) {
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -25,7 +25,7 @@
 	// retryDelay is how long a relay is not used after a failure.
 	retryDelay = 5 * time.Second
 	// requestSlack is how much longer than its wait a request may take. Requests for changes may not take longer than
-	// MaxAge after the time up to which the last answer has all of them, but at least minRequestTime.
+	// maxAge after the time up to which the last answer has all of them, but at least minRequestTime.
 	requestSlack   = 600 * time.Millisecond
 	minRequestTime = 300 * time.Millisecond
 	// At most maxFallbacks hosts are asked for their last state, each with fallbackTimeout.
@@ -164,7 +164,7 @@
 // List returns all items that a relay has, or else the store, or else, as their last state, a fallback host. A relay or
 // fallback whose items accept refuses is passed over.
 func (s *Source[T]) List(
-	ctx context.Context, accept func([]broker.Item[T], broker.Knowledge) bool,
+	ctx context.Context, accept broker.Accept[T],
 ) ([]broker.Item[T], broker.Knowledge, error) {
 	for relay, ok := s.relays.pick(time.Now()); ok && ctx.Err() == nil; relay, ok = s.relays.pick(time.Now()) {
 		answer, known, err := s.requestChanges(ctx, relay, "", requestSlack)
@@ -187,7 +187,7 @@
 
 // requestFallbacks returns the last state of a randomly chosen fallback host.
 func (s *Source[T]) requestFallbacks(
-	ctx context.Context, accept func([]broker.Item[T], broker.Knowledge) bool,
+	ctx context.Context, accept broker.Accept[T],
 ) (reply[T], broker.Knowledge, bool) {
 	s.relays.mu.Lock()
 	fallbacks := slices.Clone(s.relays.fallbacks)
@@ -219,7 +219,7 @@
 	if lastRelay != relay {
 		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay))
 	}
-	timeout := max(time.Until(knownAt.Add(MaxAge)), minRequestTime)
+	timeout := max(time.Until(knownAt.Add(maxAge)), minRequestTime)
 	query := fmt.Sprintf("seen=%s&age=%s&wait=%s", position, time.Since(knownAt), min(wait, timeout))
 	answer, known, err := s.requestChanges(ctx, relay, query, timeout)
 	if err != nil {
@@ -258,7 +258,7 @@
 	ctx context.Context, relay netip.AddrPort, query string, timeout time.Duration,
 ) (reply[T], broker.Knowledge, error) {
 	answer, known, err := s.request(ctx, relay, query, timeout)
-	if err == nil && time.Since(known.At) >= MaxAge {
+	if err == nil && time.Since(known.At) >= maxAge {
 		err = &Error{Op: "read from " + relay.String(), Kind: KindRefused, Err: errors.New("what the relay knows is too old")}
 	}
 	if err != nil {
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -36,10 +36,13 @@
 	At time.Time
 }
 
+// Accept reports whether items that another host knows can be used.
+type Accept[T any] func(items []Item[T], known Knowledge) bool
+
 // Source reads a collection of the platform's store. It skips entries that cannot be decoded.
 type Source[T any] interface {
 	// List returns all items. It skips copies that are not the store's own and that accept refuses.
-	List(ctx context.Context, accept func(items []Item[T], known Knowledge) bool) (items []Item[T], known Knowledge, err error)
+	List(ctx context.Context, accept Accept[T]) (items []Item[T], known Knowledge, err error)
 	// Watch returns the changes after a revision as soon as there are any, or no changes after wait or once the source
 	// has confirmed that there are none.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], known Knowledge, err error)
