Read the store at two hosts and pass its collections on in two levels

Cause: ten of 195 hosts followed the store, every host listed four collections at its start, wrote its record with a new process each time, and turned to the store with all its followers when its relays restarted or the store was away.

Change: two roots follow the store, two relays of each zone read from them, the other hosts from these. Hosts list the registered hosts first and the rest from relays. A host's record no longer names its process; probes do. A host whose relays restart keeps its copy until it is 1.5 s old; one whose relays and store are away calls the store each 1.5 s, and its relays more often. Relays leave theirs at 1.5 s, other hosts at 2 s, both by the age that each hop adds to. A poll without an answer is repeated after 0.8 s. Collections between zones are compressed. A host that returns from the store to a relay lists the collection: the relay's changes may be older.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -63,7 +63,7 @@
 	log := logger.New(os.Stdout, level, set)
 	defer log.Close()
 	nodeLog := log.With("node", settings.Node)
-	store := platform.NewStore(settings.Store, nil)
+	store := platform.NewStore(settings.Store, nil, set)
 	host := forwarder.New(forwarder.Dependencies{
 		Settings: settings.Settings, Sources: platform.NewSources(store, set, nodeLog), Codec: platform.Codec{},
 		Directory: platform.NewDirectory, Probe: platform.NewProbe(), Tracer: tracer.Disabled(), Metrics: set, Logger: nodeLog,
--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -25,6 +25,9 @@
 	longListTimeout = 3 * time.Second
 	// watchSlack is how much longer than its wait a watch may take before it times out.
 	watchSlack = 800 * time.Millisecond
+	// pollSlack is how much longer than its wait a poll may take. It is then repeated without a wait: the store may have
+	// dropped it, and the copy must not seem old for that.
+	pollSlack = 300 * time.Millisecond
 	// probeWait is the wait of a watch that only tests whether the store answers again.
 	probeWait = time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a failed call. After an outage of the store, a host must be up to
@@ -246,12 +249,19 @@
 			waiter.Wait(ctx, minBackoff)
 			continue
 		}
+		f.options.Gate.Await(ctx)
 		f.polls.Inc()
-		callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		slack := pollSlack
+		if wait == probeWait {
+			slack = watchSlack
+		}
+		callCtx, cancel := context.WithTimeout(ctx, wait+slack)
 		changed, at, err := f.source.Poll(callCtx, revision, wait)
 		cancel()
 		wait = f.options.PollWait
 		switch {
+		case slack == pollSlack && errors.Is(err, context.DeadlineExceeded):
+			wait = probeWait
 		case errors.Is(err, broker.ErrHistoryGone):
 			f.reportHistoryGone()
 			waiter.Wait(ctx, f.options.PollWait)
--- a/internal/broker/coordination/follower/follower_test.go
+++ b/internal/broker/coordination/follower/follower_test.go
@@ -240,3 +240,47 @@
 		}
 	})
 }
+
+// droppingSource is a collection whose store drops the first poll: it never answers it.
+type droppingSource struct {
+	*fakeSource
+
+	polls int
+}
+
+func (s *droppingSource) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
+	s.mu.Lock()
+	s.polls++
+	first := s.polls == 1
+	s.mu.Unlock()
+	if first {
+		<-ctx.Done()
+		return false, time.Time{}, ctx.Err()
+	}
+	return s.fakeSource.Poll(ctx, after, wait)
+}
+
+// TestDroppedPoll guards against a copy that seems old because the store has dropped one poll: the hosts that read from
+// this one would all turn to the store.
+func TestDroppedPoll(t *testing.T) {
+	const (
+		pollWait = 500 * time.Millisecond
+		maxAge   = 1500 * time.Millisecond // at which other relays leave this one
+	)
+	synctest.Test(t, func(t *testing.T) {
+		source := &droppingSource{fakeSource: newFakeSource()}
+		f := New("test", source, func(Update[uint64]) {}, Options{Wait: 25 * time.Second, PollWait: pollWait, Gate: NewGate()},
+			metrics.NewSet(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			if age := time.Since(f.Known().At); age >= maxAge {
+				t.Fatalf("age of the copy: got %s, want less than %s", age, maxAge)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -39,6 +39,8 @@
 type Answer struct {
 	Ready bool
 	Load  float64 // processor cores in use
+	// Process identifies the host's process; empty if the host does not state it.
+	Process string
 	// Quarantine identifies the set of requests that the host refuses because they crash servers; empty for none.
 	Quarantine string
 }
@@ -68,8 +70,17 @@
 	record  broker.HostRecord
 	machine *fsm.FSM
 	load    float64 // processor cores in use, from the last probe
-	// quarantine is Answer.Quarantine of the last probe.
-	quarantine string
+	// process is Answer.Process of the last answer, and quarantine is Answer.Quarantine of the last probe.
+	process, quarantine string
+}
+
+// current returns the record with the process that answered last.
+func (h *host) current() broker.HostRecord {
+	record := h.record
+	if h.process != "" {
+		record.Process = h.process
+	}
+	return record
 }
 
 // New returns a prober without hosts.
@@ -118,9 +129,9 @@
 	for _, h := range p.hosts {
 		switch h.machine.Current() {
 		case StateNew, StateReady:
-			healthy = append(healthy, h.record)
+			healthy = append(healthy, h.current())
 		case StateSuspect:
-			suspect = append(suspect, h.record)
+			suspect = append(suspect, h.current())
 		}
 	}
 	return healthy, suspect
@@ -239,6 +250,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.load, h.quarantine = answer.Load, answer.Quarantine
+	if err == nil {
+		h.process = answer.Process
+	}
 	// The library returns an error if the state does not change; this needs no action.
 	_ = h.machine.Event(ctx, event)
 }
--- a/internal/broker/coordination/relayer/error.go
+++ b/internal/broker/coordination/relayer/error.go
@@ -1,6 +1,11 @@
 package relayer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+)
 
 // ErrorKind classifies an Error.
 type ErrorKind string
@@ -9,6 +14,7 @@
 const (
 	KindUnreachable ErrorKind = "unreachable" // the relay did not answer
 	KindRefused     ErrorKind = "refused"     // the relay does not follow the store or has lost its connection to it
+	KindStarting    ErrorKind = "starting"    // the relay has no state yet
 	KindMalformed   ErrorKind = "malformed"
 )
 
@@ -24,3 +30,19 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// failureOf returns why a relay that has answered with err cannot be used. A relay that is silent may be without power or
+// cut off.
+func failureOf(err error) failure {
+	var target *Error
+	switch {
+	case !errors.As(err, &target):
+		return failureSilent
+	case target.Kind == KindStarting, errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		return failureRestarting
+	case target.Kind == KindUnreachable:
+		return failureSilent
+	default:
+		return failureRefused
+	}
+}
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -1,7 +1,9 @@
 package relayer
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -20,12 +22,19 @@
 	// maxAge is the maximum age of what a host knows from a relay: how long ago the relay's copy had every change. A
 	// configuration must be in force 3 s after its acknowledgement; the rest of that time is for reading it elsewhere.
 	maxAge = 2 * time.Second
-	// minRenewal is by how much what a relay knows has to be newer than what the host knows for an answer without changes.
-	// Relays learn each second that there are none.
-	minRenewal = 500 * time.Millisecond
+	// maxPassedAge is the maximum age of what a relay knows from another one, and of what any host knows from one in another
+	// zone. Relays leave theirs earlier than the hosts of their zone would leave them, so that these do not notice.
+	maxPassedAge = 1500 * time.Millisecond
+	// minRenewal is by how much what a relay knows has to be newer than what the host knows for an answer without changes,
+	// and minPassedRenewal the same if the host is a relay itself. Hosts that follow the store learn each 500 ms that there
+	// are none.
+	minRenewal       = 900 * time.Millisecond
+	minPassedRenewal = 400 * time.Millisecond
 	// renewalSpread is the time over which the hosts that wait are told that there are no changes, so that a relay does not
 	// answer all of them at the same moment.
-	renewalSpread = 200 * time.Millisecond
+	renewalSpread = 100 * time.Millisecond
+	// headerRetryAfter is set in the answers of a relay that has no state yet.
+	headerRetryAfter = "Retry-After"
 	// maxLogChanges is the number of changes that a feed keeps; hosts that are further behind list the collection.
 	maxLogChanges = 1024
 )
@@ -45,7 +54,7 @@
 
 // Feed serves a collection that this host follows to other hosts; it implements http.Handler.
 type Feed[T any] struct {
-	followsStore func() bool
+	serves func() bool
 
 	mu      sync.Mutex
 	process string // changes with each start of the host
@@ -56,10 +65,10 @@
 	changed chan struct{}
 }
 
-// NewFeed returns an empty feed. It refuses requests until the first Publish, while followsStore returns false, and while
-// what it knows is older than maxAge.
-func NewFeed[T any](followsStore func() bool) *Feed[T] {
-	return &Feed[T]{followsStore: followsStore, process: uuid.NewString(), changed: make(chan struct{})}
+// NewFeed returns an empty feed. It refuses requests until the first Publish, while serves returns false, and while what it
+// knows is older than maxAge.
+func NewFeed[T any](serves func() bool) *Feed[T] {
+	return &Feed[T]{serves: serves, process: uuid.NewString(), changed: make(chan struct{})}
 }
 
 // Publish sets a new state of the collection.
@@ -127,20 +136,27 @@
 	position, allowOld := r.URL.Query().Get("seen"), r.URL.Query().Get("old") != ""
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	age, _ := time.ParseDuration(r.URL.Query().Get("age"))
+	far, renewal := r.URL.Query().Get("far") != "", minRenewal
+	if r.URL.Query().Get("passes") != "" {
+		renewal = minPassedRenewal
+	}
 	timeout := time.NewTimer(min(wait, maxAge))
 	defer timeout.Stop()
 	for renewed, ended := false, false; ; {
 		state, ok := f.read(position)
 		if !ok || !allowOld && !f.isCurrent(state.known) {
-			http.Error(w, "this host is not following the store", http.StatusServiceUnavailable)
+			if !ok {
+				w.Header().Set(headerRetryAfter, "0")
+			}
+			http.Error(w, "this host does not relay the collection now", http.StatusServiceUnavailable)
 			return
 		}
 		if state.reply.Full || len(state.reply.Changes) > 0 || ended {
 			state.reply.KnownFor = state.known.At.Sub(arrived)
-			f.write(w, state.reply)
+			write(w, state.reply, far && acceptsGzip(r))
 			return
 		}
-		if !renewed && state.known.At.Sub(arrived.Add(-age)) >= minRenewal {
+		if !renewed && state.known.At.Sub(arrived.Add(-age)) >= renewal {
 			renewed = true
 			timeout.Reset(rand.N(renewalSpread))
 		}
@@ -154,14 +170,37 @@
 	}
 }
 
-// isCurrent reports whether this host follows the store itself and knows of every change up to maxAge ago.
+// isCurrent reports whether this host is a relay and knows of every change up to maxAge ago.
 func (f *Feed[T]) isCurrent(known broker.Knowledge) bool {
-	return f.followsStore() && time.Since(known.At) < maxAge
+	return f.serves() && time.Since(known.At) < maxAge
+}
+
+func acceptsGzip(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Accept-Encoding"), "gzip")
 }
 
-func (f *Feed[T]) write(w http.ResponseWriter, answer reply[T]) {
+// compressors are reused, because each has tables of hundreds of kilobytes.
+var compressors = sync.Pool{New: func() any {
+	compressor, err := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return compressor
+}}
+
+// write sends an answer. Answers to hosts in other zones are compressed.
+func write[T any](w http.ResponseWriter, answer reply[T], compress bool) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer) // fails only if the client has disconnected
+	if !compress || len(answer.Items)+len(answer.Changes) == 0 {
+		_ = json.NewEncoder(w).Encode(answer) // fails only if the client has disconnected
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressor, _ := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(w)
+	_ = json.NewEncoder(compressor).Encode(answer) // as above
+	_ = compressor.Close()
 }
 
 // feedState is the state of a feed as seen from a position in its log.
--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -68,6 +68,15 @@
 	return r
 }
 
+// near returns relays as candidates in the same zone.
+func near(relays ...*relay) []Candidate {
+	candidates := make([]Candidate, len(relays))
+	for i := range relays {
+		candidates[i].Address = relays[i].address
+	}
+	return candidates
+}
+
 // publish publishes a state with one item for each name; the values of names are the revisions of the items.
 func (r *relay) publish(at uint64, names map[string]uint64) {
 	items := map[string]broker.Item[string]{}
@@ -81,7 +90,7 @@
 // client's, as after a watch of the relay that missed events.
 func TestRelay(t *testing.T) {
 	r, store, relays := newRelay(t), &storeSource{}, NewRelays()
-	relays.Set([]netip.AddrPort{r.address})
+	relays.Set(near(r), false)
 	source := NewSource("test", store, relays)
 	r.publish(10, map[string]uint64{"a": 5})
 	items, at, err := source.List(t.Context(), acceptAll)
@@ -123,7 +132,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			first, second, store, relays := newRelay(t), newRelay(t), &storeSource{}, NewRelays()
-			relays.Set([]netip.AddrPort{first.address, second.address})
+			relays.Set(near(first, second), false)
 			source := NewSource("test", store, relays)
 			first.publish(10, map[string]uint64{"a": 5})
 			second.publish(11, map[string]uint64{"a": 5})
@@ -167,13 +176,13 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			first, second, store, relays := newRelay(t), newRelay(t), &storeSource{}, NewRelays()
-			candidates := []netip.AddrPort{first.address, second.address}
+			candidates := near(first, second)
 			if tt.viaFallback {
 				candidates = candidates[:1]
 				relays.SetFallbacks([]netip.AddrPort{second.address})
 				store.err = errors.New("away")
 			}
-			relays.Set(candidates)
+			relays.Set(candidates, false)
 			first.publish(12, map[string]uint64{"a": 5, "b": 12})
 			second.publish(11, tt.older)
 			updates := make(chan follower.Update[string], 16)
@@ -208,7 +217,7 @@
 // TestFeedBehind guards against a client that misses changes because the log no longer has them.
 func TestFeedBehind(t *testing.T) {
 	r, relays := newRelay(t), NewRelays()
-	relays.Set([]netip.AddrPort{r.address})
+	relays.Set(near(r), false)
 	source := NewSource("test", &storeSource{}, relays)
 	r.publish(1, map[string]uint64{"a": 1})
 	if _, _, err := source.List(t.Context(), acceptAll); err != nil {
@@ -241,8 +250,8 @@
 func TestPollDuringStoreWatch(t *testing.T) {
 	r, relays := newRelay(t), NewRelays()
 	store := &waitingSource{release: make(chan struct{})}
-	relays.Set([]netip.AddrPort{r.address})
-	relays.fail(r.address, time.Now())
+	relays.Set(near(r), false)
+	relays.fail(r.address, time.Now(), failureRefused)
 	source := NewSource("test", store, relays)
 	watched := make(chan struct{})
 	go func() {
@@ -252,7 +261,7 @@
 	for !source.watchesStore.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	relays.fail(r.address, time.Now().Add(-2*retryDelay)) // the relay may be used again
+	relays.fail(r.address, time.Now().Add(-2*retryDelay), failureRefused) // the relay may be used again
 	if _, _, err := source.Poll(t.Context(), 1, time.Millisecond); err != nil {
 		t.Fatal(err)
 	}
@@ -287,7 +296,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r, relays := newRelay(t), NewRelays()
-			relays.Set([]netip.AddrPort{r.address})
+			relays.Set(near(r), false)
 			source := NewSource("test", &storeSource{}, relays)
 			r.feed.Publish(follower.Update[string]{
 				Items: map[string]broker.Item[string]{"a": {Name: "a", Revision: 5}},
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -19,6 +19,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/requester"
+	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
 const (
@@ -28,9 +29,24 @@
 	// maxAge after the time up to which the last answer has all of them, but at least minRequestTime.
 	requestSlack   = 600 * time.Millisecond
 	minRequestTime = 300 * time.Millisecond
+	// answerTime is the part of the time of a request for changes in which the relay has to answer, also without changes: one
+	// that knows nothing new must not pass for silent.
+	answerTime = 100 * time.Millisecond
 	// At most maxFallbacks hosts are asked for their last state, each with fallbackTimeout.
 	maxFallbacks    = 3
 	fallbackTimeout = 300 * time.Millisecond
+	// While no relay can be reached, hosts try them each reconnectInterval. A host that starts does so for startPatience,
+	// and one with a copy until that is reconnectAge old: relays that were restarted are back within that time, and the
+	// store would be called by all hosts of the zone at once.
+	reconnectInterval = 100 * time.Millisecond
+	startPatience     = 400 * time.Millisecond
+	// farTimeout is the timeout of a listing from a relay in another zone, after which there is still time to list the
+	// collection elsewhere.
+	farTimeout   = 300 * time.Millisecond
+	reconnectAge = 1500 * time.Millisecond
+	// storeRetryInterval is the minimum time between calls of a store that does not answer, by a host that has relays. In an
+	// outage, its relays notice the return of the store earlier.
+	storeRetryInterval = 1500 * time.Millisecond
 	// maxIdleConnections allows one connection to a host for each collection.
 	maxIdleConnections = 8
 	// maxReplyBytes is the maximum size of the body of an answer, and maxHeaderBytes that of its header.
@@ -38,27 +54,42 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Candidate is a host that may be used as a relay.
+type Candidate struct {
+	Address netip.AddrPort
+	// Far reports whether the host is in another zone. Its answers are compressed, and it is not asked by a host whose copy
+	// is old, because there may be no time to wait for its answer.
+	Far bool
+}
+
 // Relays selects the hosts that collections are read from instead of the store, and sends requests to hosts.
 type Relays struct {
 	client *http.Client
 
 	mu         sync.Mutex
-	candidates []netip.AddrPort // in order of preference; empty if this host follows the store
+	candidates []Candidate      // in order of preference, near ones first; empty if this host follows the store
+	passes     bool             // other hosts use this one as a relay
 	fallbacks  []netip.AddrPort // asked for their last state if the store cannot be read
 	retryAt    map[netip.AddrPort]time.Time
+	failures   map[netip.AddrPort]failure // of relays in retryAt
+	storeAt    time.Time                  // the store is not called before this time
 }
 
 // NewRelays returns relays without candidates.
 func NewRelays() *Relays {
-	options := requester.Options{MaxIdleConnections: maxIdleConnections, MaxHeaderBytes: maxHeaderBytes}
-	return &Relays{retryAt: map[netip.AddrPort]time.Time{}, client: requester.New(options)}
+	options := requester.Options{MaxIdleConnections: maxIdleConnections, MaxHeaderBytes: maxHeaderBytes, Compress: true}
+	return &Relays{
+		retryAt: map[netip.AddrPort]time.Time{}, failures: map[netip.AddrPort]failure{},
+		client: requester.New(options),
+	}
 }
 
-// Set sets the hosts that may be used as relays, in order of preference.
-func (r *Relays) Set(candidates []netip.AddrPort) {
+// Set sets the hosts that may be used as relays, in order of preference. Passes reports whether other hosts use this one as
+// a relay.
+func (r *Relays) Set(candidates []Candidate, passes bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.candidates = candidates
+	r.candidates, r.passes = candidates, passes
 }
 
 // SetFallbacks sets the hosts that are asked for their last state if this host starts while it cannot read the store.
@@ -70,19 +101,27 @@
 
 // Direct reports whether this host follows the store instead of a relay.
 func (r *Relays) Direct() bool {
-	_, ok := r.pick(time.Now())
+	_, ok := r.pick(time.Now(), netip.AddrPort{}, true)
 	return !ok
 }
 
-func (r *Relays) pick(now time.Time) (netip.AddrPort, bool) {
+// pick returns the first relay that can be used, far ones only if they are allowed. It prefers the last relay to others
+// that are not nearer, because they would have to send the whole collection.
+func (r *Relays) pick(now time.Time, last netip.AddrPort, far bool) (Candidate, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var first Candidate
+	found := false
 	for _, candidate := range r.candidates {
-		if now.After(r.retryAt[candidate]) {
-			return candidate, true
+		switch {
+		case candidate.Far && !far || !now.After(r.retryAt[candidate.Address]):
+		case !found:
+			first, found = candidate, true
+		case candidate.Address == last && candidate.Far == first.Far:
+			first = candidate
 		}
 	}
-	return netip.AddrPort{}, false
+	return first, found
 }
 
 // Post sends a message as JSON to a path of another host.
@@ -127,16 +166,95 @@
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil || response.StatusCode/100 != 2 {
-		return nil, &Error{Op: op, Kind: KindRefused, Err: errors.Errorf("%s: %s: %v",
+		kind := KindRefused
+		if response.Header.Get(headerRetryAfter) != "" {
+			kind = KindStarting
+		}
+		return nil, &Error{Op: op, Kind: kind, Err: errors.Errorf("%s: %s: %v",
 			response.Status, strings.TrimSpace(string(data[:min(len(data), 100)])), err)}
 	}
 	return data, nil
 }
 
-func (r *Relays) fail(relay netip.AddrPort, now time.Time) {
+// failure is why a relay cannot be used.
+type failure uint8
+
+const (
+	failureSilent     failure = iota // it does not answer
+	failureRefused                   // it answers, but not with what can be used
+	failureRestarting                // its process ended or has just started
+)
+
+// fail excludes a relay for retryDelay.
+func (r *Relays) fail(relay netip.AddrPort, now time.Time, why failure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.retryAt[relay] = now.Add(retryDelay)
+	r.retryAt[relay], r.failures[relay] = now.Add(retryDelay), why
+}
+
+// retryRestarting allows the relays again whose processes were restarting, and reports whether there are any.
+func (r *Relays) retryRestarting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := false
+	for _, candidate := range r.candidates {
+		if !r.retryAt[candidate.Address].IsZero() && r.failures[candidate.Address] == failureRestarting {
+			delete(r.retryAt, candidate.Address)
+			found = true
+		}
+	}
+	return found
+}
+
+// mayCallStore reports whether the store may be called: always by a host without relays, and otherwise unless it has just
+// failed to answer. Then the relays that answer are allowed again: they may reach the store earlier.
+func (r *Relays) mayCallStore(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.candidates) == 0 || !now.Before(r.storeAt) {
+		return true
+	}
+	r.retryAnswering()
+	return false
+}
+
+// storeFailed records that the store has not answered a host that has relays.
+func (r *Relays) storeFailed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeAt = now.Add(storeRetryInterval)
+	r.retryAnswering()
+}
+
+// retryAnswering allows the relays again that are not silent; the caller holds mu.
+func (r *Relays) retryAnswering() {
+	for _, candidate := range r.candidates {
+		if r.failures[candidate.Address] != failureSilent {
+			delete(r.retryAt, candidate.Address)
+		}
+	}
+}
+
+// any reports whether this host has relays, usable or not.
+func (r *Relays) any() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.candidates) > 0
+}
+
+// passesOn reports whether other hosts use this one as a relay.
+func (r *Relays) passesOn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.passes
+}
+
+// maxAge returns the maximum age of what a relay knows.
+func (r *Relays) maxAge(relay Candidate) time.Duration {
+	if relay.Far || r.passesOn() {
+		return maxPassedAge
+	}
+	return maxAge
 }
 
 // Source reads a collection from a relay, or from the store while no relay answers.
@@ -148,9 +266,10 @@
 	watchesStore atomic.Bool
 
 	mu        sync.Mutex
-	lastRelay netip.AddrPort // relay that gave the last answer
+	answered  bool           // a relay has answered
+	lastRelay netip.AddrPort // relay that gave the last answer; invalid if the store gave a later one
 	position  string         // position in the change log of lastRelay
-	knownAt   time.Time      // time up to which the last answer of lastRelay has every change
+	knownAt   time.Time      // time up to which the last answer has every change
 }
 
 // NewSource returns a source of the collection that relays serve under name; direct reads it from the store.
@@ -166,17 +285,19 @@
 func (s *Source[T]) List(
 	ctx context.Context, accept broker.Accept[T],
 ) ([]broker.Item[T], broker.Knowledge, error) {
-	for relay, ok := s.relays.pick(time.Now()); ok && ctx.Err() == nil; relay, ok = s.relays.pick(time.Now()) {
-		answer, known, err := s.requestChanges(ctx, relay, "", requestSlack)
-		if err != nil {
-			continue
+	patience := time.Now()
+	if !s.hasAnswer() {
+		patience = patience.Add(startPatience)
+	}
+	for {
+		if items, known, ok := s.listRelays(ctx, accept); ok {
+			return items, known, nil
 		}
-		if answer.Full && accept(answer.Items, known) {
-			return answer.Items, known, nil
+		if !time.Now().Before(patience) || !s.relays.retryRestarting() || !waiter.Wait(ctx, reconnectInterval) {
+			break
 		}
-		s.relays.fail(relay, time.Now())
 	}
-	items, known, err := s.direct.List(ctx, accept)
+	items, known, err := s.listStore(ctx, accept)
 	if err != nil {
 		if answer, known, ok := s.requestFallbacks(ctx, accept); ok {
 			return answer.Items, known, nil
@@ -185,6 +306,89 @@
 	return items, known, err
 }
 
+// listStore lists the collection at the store.
+func (s *Source[T]) listStore(ctx context.Context, accept broker.Accept[T]) ([]broker.Item[T], broker.Knowledge, error) {
+	if !s.relays.mayCallStore(time.Now()) {
+		return nil, broker.Knowledge{}, s.storeAwayError("list")
+	}
+	s.leaveRelay()
+	items, known, err := s.direct.List(ctx, accept)
+	s.recordStoreCall(known, err)
+	return items, known, err
+}
+
+// watchStore watches the collection at the store, and not for long if this host has relays to return to.
+func (s *Source[T]) watchStore(
+	ctx context.Context, after uint64, wait time.Duration,
+) ([]broker.Change[T], broker.Knowledge, error) {
+	if !s.relays.mayCallStore(time.Now()) {
+		return nil, broker.Knowledge{}, s.storeAwayError("watch")
+	}
+	s.leaveRelay()
+	s.watchesStore.Store(true)
+	defer s.watchesStore.Store(false)
+	if s.relays.any() {
+		wait = min(wait, retryDelay)
+	}
+	changes, known, err := s.direct.Watch(ctx, after, wait)
+	s.recordStoreCall(known, err)
+	return changes, known, err
+}
+
+// recordStoreCall records the result of a call of the store, unless this host ended the call itself.
+func (s *Source[T]) recordStoreCall(known broker.Knowledge, err error) {
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.knownAt = known.At
+		return
+	}
+	if !errors.Is(err, broker.ErrHistoryGone) && !errors.Is(err, context.Canceled) {
+		s.relays.storeFailed(time.Now())
+	}
+}
+
+func (s *Source[T]) storeAwayError(op string) error {
+	return &Error{Op: op + " " + s.name, Kind: KindRefused, Err: errors.New("the store has just failed to answer")}
+}
+
+// hasAnswer reports whether a relay has ever answered.
+func (s *Source[T]) hasAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered
+}
+
+// leaveRelay makes the host list the collection when it returns to a relay, whose changes may be older than its state.
+func (s *Source[T]) leaveRelay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastRelay = netip.AddrPort{}
+}
+
+// listRelays returns all items that a relay has, or false if none has items that accept does not refuse.
+func (s *Source[T]) listRelays(ctx context.Context, accept broker.Accept[T]) ([]broker.Item[T], broker.Knowledge, bool) {
+	for ctx.Err() == nil {
+		relay, ok := s.relays.pick(time.Now(), netip.AddrPort{}, s.hasTime())
+		if !ok {
+			break
+		}
+		timeout := requestSlack
+		if relay.Far {
+			timeout = farTimeout
+		}
+		answer, known, err := s.requestChanges(ctx, relay, "", timeout)
+		if err != nil {
+			continue
+		}
+		if answer.Full && accept(answer.Items, known) {
+			return answer.Items, known, true
+		}
+		s.relays.fail(relay.Address, time.Now(), failureRefused)
+	}
+	return nil, broker.Knowledge{}, false
+}
+
 // requestFallbacks returns the last state of a randomly chosen fallback host.
 func (s *Source[T]) requestFallbacks(
 	ctx context.Context, accept broker.Accept[T],
@@ -207,23 +411,25 @@
 func (s *Source[T]) Watch(
 	ctx context.Context, after uint64, wait time.Duration,
 ) ([]broker.Change[T], broker.Knowledge, error) {
-	relay, ok := s.relays.pick(time.Now())
-	if !ok {
-		s.watchesStore.Store(true)
-		defer s.watchesStore.Store(false)
-		return s.direct.Watch(ctx, after, wait)
-	}
 	s.mu.Lock()
 	lastRelay, position, knownAt := s.lastRelay, s.position, s.knownAt
 	s.mu.Unlock()
-	if lastRelay != relay {
-		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay))
+	relay, ok := s.relays.pick(time.Now(), lastRelay, s.hasTime())
+	if !ok {
+		return s.watchStore(ctx, after, wait)
+	}
+	if lastRelay != relay.Address {
+		return nil, broker.Knowledge{}, s.relistError(errors.Errorf("the relay is now %s", relay.Address))
 	}
-	timeout := max(time.Until(knownAt.Add(maxAge)), minRequestTime)
-	query := fmt.Sprintf("seen=%s&age=%s&wait=%s", position, time.Since(knownAt), min(wait, timeout))
+	timeout := max(time.Until(knownAt.Add(s.relays.maxAge(relay))), minRequestTime)
+	query := fmt.Sprintf("seen=%s&age=%s&wait=%s", position, time.Since(knownAt), min(wait, timeout-answerTime))
 	answer, known, err := s.requestChanges(ctx, relay, query, timeout)
 	if err != nil {
 		if s.relays.Direct() {
+			if time.Since(knownAt) < reconnectAge && s.relays.retryRestarting() {
+				waiter.Wait(ctx, reconnectInterval)
+				return nil, broker.Knowledge{Revision: after, At: knownAt}, nil
+			}
 			return nil, broker.Knowledge{}, err
 		}
 		return nil, broker.Knowledge{}, s.relistError(err) // the next relay need not be waited for
@@ -253,20 +459,30 @@
 	return false, time.Time{}, nil
 }
 
+// hasTime reports whether there is time to ask a far relay: this host has no copy, or not an old one.
+func (s *Source[T]) hasTime() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.answered || time.Since(s.knownAt) < reconnectAge
+}
+
 // requestChanges requests the changes since the position in the query from a relay, or all items without one.
 func (s *Source[T]) requestChanges(
-	ctx context.Context, relay netip.AddrPort, query string, timeout time.Duration,
+	ctx context.Context, relay Candidate, query string, timeout time.Duration,
 ) (reply[T], broker.Knowledge, error) {
-	answer, known, err := s.request(ctx, relay, query, timeout)
-	if err == nil && time.Since(known.At) >= maxAge {
-		err = &Error{Op: "read from " + relay.String(), Kind: KindRefused, Err: errors.New("what the relay knows is too old")}
+	if relay.Far {
+		query += "&far=1"
+	}
+	answer, known, err := s.request(ctx, relay.Address, query, timeout)
+	if err == nil && time.Since(known.At) >= s.relays.maxAge(relay) {
+		err = &Error{Op: "read from " + relay.Address.String(), Kind: KindRefused, Err: errors.New("what the relay knows is too old")}
 	}
 	if err != nil {
-		s.relays.fail(relay, time.Now())
+		s.relays.fail(relay.Address, time.Now(), failureOf(err))
 		return answer, known, err
 	}
 	s.mu.Lock()
-	s.lastRelay, s.position, s.knownAt = relay, answer.Position, known.At
+	s.answered, s.lastRelay, s.position, s.knownAt = true, relay.Address, answer.Position, known.At
 	s.mu.Unlock()
 	return answer, known, nil
 }
@@ -279,6 +495,9 @@
 	var answer reply[T]
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	if s.relays.passesOn() {
+		query += "&passes=1"
+	}
 	sent := time.Now()
 	if err := s.relays.Get(ctx, relay, Path(s.name)+"?"+query, &answer); err != nil {
 		return answer, broker.Knowledge{}, err
--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -114,6 +114,7 @@
 	Peer netip.AddrPort `json:"peer,omitzero"`
 	// Capacity is the host's share of a processor core.
 	Capacity float64 `json:"capacity"`
-	// Process identifies the host's process and changes with each start.
-	Process string `json:"process"`
+	// Process identifies the host's process, as it answered the last probe. Hosts do not store it, because each start would
+	// then be a change of the record that all other hosts read.
+	Process string `json:"process,omitempty"`
 }
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -54,8 +54,9 @@
 // Collection is a source whose objects are written by the hosts.
 type Collection[T any] interface {
 	Source[T]
-	// Put creates or replaces the object with the given name.
-	Put(ctx context.Context, name string, value T) error
+	// Put creates or replaces the object with the given name. Exists states whether it probably exists, which saves a call
+	// if it is true.
+	Put(ctx context.Context, name string, value T, exists bool) error
 	// Delete removes the object with the given name if it still has the given revision.
 	Delete(ctx context.Context, name string, revision uint64) error
 }
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -175,6 +175,7 @@
 }
 
 func (f *Forwarder) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(HeaderProcess, f.process)
 	w.Header().Set(HeaderLoad, strconv.FormatFloat(f.load.ownCores(), 'f', 3, 64))
 	if digest := f.quarantine.digest(); digest != "" {
 		w.Header().Set(HeaderQuarantine, digest)
--- a/internal/forwarder/feed.go
+++ b/internal/forwarder/feed.go
@@ -23,18 +23,20 @@
 	hosts    *relayer.Feed[broker.HostRecord]
 }
 
-func newFeeds(followsStore func() bool) feeds {
+func newFeeds(serves func() bool) feeds {
 	return feeds{
-		catalogs: relayer.NewFeed[*broker.Catalog](followsStore), servers: relayer.NewFeed[broker.Registration](followsStore),
-		leaving: relayer.NewFeed[struct{}](followsStore), hosts: relayer.NewFeed[broker.HostRecord](followsStore),
+		catalogs: relayer.NewFeed[*broker.Catalog](serves), servers: relayer.NewFeed[broker.Registration](serves),
+		leaving: relayer.NewFeed[struct{}](serves), hosts: relayer.NewFeed[broker.HostRecord](serves),
 	}
 }
 
 // renewCatalogs records up to which point the configuration is known. The hosts are not polled; that this host reaches
 // the store says enough of them, because probes show which are running.
-func (f feeds) renewCatalogs(known broker.Knowledge) {
-	f.catalogs.Renew(known)
-	f.hosts.Renew(broker.Knowledge{At: known.At})
+func (f *Forwarder) renewCatalogs(known broker.Knowledge) {
+	f.feeds.catalogs.Renew(known)
+	if f.relays.Direct() {
+		f.feeds.hosts.Renew(broker.Knowledge{At: known.At})
+	}
 }
 
 func (f feeds) handler() http.Handler {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -52,7 +53,7 @@
 	// pollWait is the wait of one poll, a cheap check of a collection for changes. A watch that misses events must be
 	// detected, and the collection read again, within the 3 s in which a configuration must be in force and requests must
 	// leave a draining server.
-	pollWait = time.Second
+	pollWait = 500 * time.Millisecond
 	// serverListName is the name of the stored list of servers, and serverListInterval the pause between checks whether it
 	// is out of date.
 	serverListName     = "servers"
@@ -121,6 +122,10 @@
 	feeds      feeds
 	lifetime   addressLifetime
 	divided    atomic.Pointer[dividedHosts]
+	process    string        // identifies this process
+	passesOn   atomic.Bool   // other hosts read collections from this one
+	hostsKnown signal        // the registered hosts have been read
+	recorded   signal        // the store has the record of this host
 	probeNow   chan struct{} // receives when the registered hosts have changed
 	tasks      sync.WaitGroup
 
@@ -136,7 +141,7 @@
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		requestLogLimiter: logger.NewLimiter(requestLogRate, requestLogBurst),
 		tracker:           tracker.New(), gate: follower.NewGate(), createdAt: time.Now(),
-		probeNow: make(chan struct{}, 1),
+		probeNow: make(chan struct{}, 1), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
 	}
 	f.reloadable.Store(&deps.Settings)
 	f.cutoff = newCutoff()
@@ -157,7 +162,7 @@
 	f.delegates, f.messenger = delegator.New(deps.Settings.Zone), messenger.NewClient(f.set)
 	f.relays = relayer.NewRelays()
 	f.relays.SetFallbacks(deps.Settings.Seeds)
-	f.feeds = newFeeds(f.relays.Direct)
+	f.feeds = newFeeds(f.relaysCollections)
 	f.quarantine = newQuarantine(f.set, f.logger)
 	f.notices = newNotices(f.set, f.logger, f.tracker.CountNotices)
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
@@ -332,7 +337,7 @@
 		}
 	}
 	catalogs := follower.New(feedCatalogs, relayer.NewSource(feedCatalogs, f.sources.Catalogs, f.relays),
-		f.adoptCatalog, options(watchPause, pollWait, f.feeds.renewCatalogs), f.set, f.logger)
+		f.adoptCatalog, options(watchPause, pollWait, f.renewCatalogs), f.set, f.logger)
 	servers := follower.New(feedServers, relayer.NewSource(feedServers, f.sources.Servers, f.relays), f.updateServers,
 		options(serversPause, pollWait, f.feeds.servers.Renew), f.set, f.logger)
 	leaving := follower.New(feedLeaving, relayer.NewSource(feedLeaving, f.sources.Leaving, f.relays), f.updateZonesToLeave,
@@ -341,7 +346,10 @@
 	hosts := follower.New(feedHosts, relayer.NewSource[broker.HostRecord](feedHosts, f.sources.Hosts, f.relays),
 		f.updateHosts, options(serversPause, 0, f.feeds.hosts.Renew), f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
-	tasks := []func(context.Context){catalogs.Run, servers.Run, leaving.Run, hosts.Run, f.probeHosts, f.expireServers}
+	tasks := []func(context.Context){
+		f.afterHosts(catalogs.Run), f.afterHosts(servers.Run), f.afterHosts(leaving.Run), f.afterRecord(hosts.Run),
+		f.probeHosts, f.expireServers,
+	}
 	if !f.settings.resolvesOnly() {
 		tasks = append(tasks, f.maintainServerList, f.maintainHostRecord, f.removeGoneHosts, f.forwardCrashReports)
 	}
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
@@ -15,6 +13,8 @@
 const (
 	// recordRetryInterval is the pause between attempts to write the record of this host.
 	recordRetryInterval = 500 * time.Millisecond
+	// startWait is the maximum time for which a task waits for another one at the start.
+	startWait = 200 * time.Millisecond
 	// recordCheckInterval is the pause between checks whether the store still has the record of this host.
 	recordCheckInterval = 5 * time.Second
 	// minProbePause is the pause between two probes if the registered hosts change.
@@ -25,26 +25,52 @@
 	maxMissedProbes  = 10
 )
 
-// maintainHostRecord writes the record of this host to the store, so that the others can find it, and writes it again
-// if it was removed while the others could not reach this host.
+// maintainHostRecord writes the record of this host to the store, so that the others can find it, unless the store has it
+// from an earlier process. It writes it again if it was removed while the others could not reach this host.
 func (f *Forwarder) maintainHostRecord(ctx context.Context) {
 	record := f.ownRecord()
-	record.Process = uuid.NewString()
+	if !f.settings.FirstStart {
+		f.hostsKnown.wait(ctx, startWait)
+	}
 	for ctx.Err() == nil {
-		f.gate.Await(ctx)
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := f.sources.Hosts.Put(callCtx, f.settings.Node, record)
-		cancel()
-		if err != nil {
-			f.logger.Warn("could not write the record of this host", "error", err)
-			waiter.Wait(ctx, recordRetryInterval)
-			continue
+		stored, found, _ := f.feeds.hosts.Find(f.settings.Node)
+		if !found || stored.Value != record {
+			f.gate.Await(ctx)
+			callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := f.sources.Hosts.Put(callCtx, f.settings.Node, record, found)
+			cancel()
+			if err != nil {
+				f.logger.Warn("could not write the record of this host", "error", err)
+				waiter.Wait(ctx, recordRetryInterval)
+				continue
+			}
+			f.logger.Info("stated this host in the store")
 		}
-		f.logger.Info("stated this host in the store", "process", record.Process)
+		f.recorded.send()
 		f.awaitRemoval(ctx)
 	}
 }
 
+// afterHosts delays a task until the registered hosts are known, from which follows where this host reads the other
+// collections. Without an answer of the store, the task starts after startWait.
+func (f *Forwarder) afterHosts(run func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		f.hostsKnown.wait(ctx, startWait)
+		run(ctx)
+	}
+}
+
+// afterRecord delays a task at the first start of the system until this host is registered. By then others are, too, so
+// that fewer hosts take themselves for the first ones.
+func (f *Forwarder) afterRecord(run func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		if f.settings.FirstStart && !f.settings.resolvesOnly() {
+			f.recorded.wait(ctx, startWait)
+		}
+		run(ctx)
+	}
+}
+
 // awaitRemoval returns once two checks in a row found no record of this host.
 func (f *Forwarder) awaitRemoval(ctx context.Context) {
 	for missing := 0; missing < 2 && waiter.Wait(ctx, recordCheckInterval); {
@@ -63,7 +89,8 @@
 		hosts[name] = item.Value
 	}
 	f.prober.SetHosts(hosts)
-	f.relays.Set(f.relayAddresses())
+	f.updateRelays()
+	f.hostsKnown.send()
 	f.relays.SetFallbacks(f.fallbackAddresses())
 	f.updateHostShare()
 	select {
--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -26,7 +26,7 @@
 		}
 		f.gate.Await(ctx)
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := f.sources.Lists.Put(callCtx, serverListName, current)
+		err := f.sources.Lists.Put(callCtx, serverListName, current, !f.settings.FirstStart || len(written.Servers) > 0)
 		cancel()
 		if err != nil {
 			f.logger.Warn("could not write the list of servers", "error", err)
--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -10,6 +10,8 @@
 const (
 	// HeaderLoad is the header of readiness answers that carries the processor cores in use by this host.
 	HeaderLoad = "Yuccarock-Load"
+	// HeaderProcess is the header of readiness answers that identifies the process of this host.
+	HeaderProcess = "Yuccarock-Process"
 	// loadWeight is the weight of the last interval in the moving average of the load.
 	loadWeight = 0.3
 	// targetUtilization is the share of the serving hosts' processors that may be in use. Beyond it answers queue behind
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -20,8 +20,6 @@
 	minCapacity = 1.2
 	// spareCandidates is how many further hosts are probed, so that hosts that take over are known to be running.
 	spareCandidates = 4
-	// relaysPerZone is the number of hosts in each zone that follow the store directly; one may fail.
-	relaysPerZone = 2
 )
 
 // Resolve returns the addresses that a caller in a zone should use, and for how long. If there are none, the caller
@@ -180,26 +178,6 @@
 	return fallbacks
 }
 
-// relayAddresses returns the addresses of hosts to ask for collections instead of the store, or nil if this host is one
-// of the first in its zone, which follow the store directly.
-func (f *Forwarder) relayAddresses() []netip.AddrPort {
-	var zone []broker.HostRecord
-	for _, host := range append(f.prober.Known(), f.ownRecord()) {
-		if host.Zone == f.settings.Zone && host.Peer.IsValid() {
-			zone = append(zone, host)
-		}
-	}
-	zone = orderHosts(zone, nil)
-	addresses := make([]netip.AddrPort, 0, relaysPerZone)
-	for _, host := range zone[:min(len(zone), relaysPerZone)] {
-		if host.Name == f.settings.Node {
-			return nil
-		}
-		addresses = append(addresses, host.Peer)
-	}
-	return addresses
-}
-
 // locality returns the locality of each zone, or nil before the first configuration.
 func (f *Forwarder) locality() map[string]int {
 	view := f.registrar.View()
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -16,6 +16,8 @@
 	MaxIdleConnections int
 	// MaxHeaderBytes is the maximum size of the header of an answer.
 	MaxHeaderBytes int64
+	// Compress accepts compressed answers.
+	Compress bool
 	// Dial opens connections; nil selects the default dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -26,7 +28,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: options.Dial, MaxIdleConnsPerHost: options.MaxIdleConnections, IdleConnTimeout: idleTimeout,
-			DisableCompression: true, MaxResponseHeaderBytes: options.MaxHeaderBytes,
+			DisableCompression: !options.Compress, MaxResponseHeaderBytes: options.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
