Probe seldom in standby, and accept pending connections before a stop

Two changes, which share forwarder.go.

Cause: each of 195 hosts probed the serving hosts and the next ones each second, 12 or so, nearly all in other zones. Change: hosts that are neither used nor next probe each 5 s, and at once, then each second, when callers or other hosts turn to them.

Pending connections. Change: a listener that is closed first accepts what is pending. Ruled out: a starved machine, as the failure came long before the 500 ms in which look-ups are answered. TestStoppedResolver: 0 of 40 runs after.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -34,6 +34,7 @@
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	f.lastRequest.Store(int64(started.Sub(f.createdAt)))
+	f.work.arrived(started)
 	if f.drainer.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -122,10 +122,11 @@
 	feeds      feeds
 	lifetime   addressLifetime
 	divided    atomic.Pointer[dividedHosts]
-	process    string        // identifies this process
-	passesOn   atomic.Bool   // other hosts read collections from this one
-	hostsKnown signal        // the registered hosts have been read
-	recorded   signal        // the store has the record of this host
+	process    string      // identifies this process
+	passesOn   atomic.Bool // other hosts read collections from this one
+	hostsKnown signal      // the registered hosts have been read
+	recorded   signal      // the store has the record of this host
+	work       *workload
 	probeNow   chan struct{} // receives when the registered hosts have changed
 	tasks      sync.WaitGroup
 
@@ -141,7 +142,7 @@
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		requestLogLimiter: logger.NewLimiter(requestLogRate, requestLogBurst),
 		tracker:           tracker.New(), gate: follower.NewGate(), createdAt: time.Now(),
-		probeNow: make(chan struct{}, 1), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
+		work: newWorkload(time.Now()), probeNow: make(chan struct{}, 1), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
 	}
 	f.reloadable.Store(&deps.Settings)
 	f.cutoff = newCutoff()
@@ -488,11 +489,3 @@
 		waiter.Wait(ctx, max(pause, time.Millisecond))
 	}
 }
-
-func listen(address netip.AddrPort) (net.Listener, error) {
-	socket, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, &Error{Op: "listen on " + address.String(), Kind: KindListen, Err: err}
-	}
-	return socket, nil
-}
