--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -195,6 +195,8 @@
 	case s.callerGone:
 		s.result = "callerGone"
 		f.meters.callersGone.Inc()
+		// Without an answer, net/http would send an empty success on a connection of which only one side is closed.
+		abortConnection(w)
 	case complete && s.route.Scatter() && s.parts.len() > 0:
 		missing := len(s.route.Shards) - s.parts.len()
 		f.meters.parts.Add(s.parts.len())
@@ -216,6 +218,13 @@
 	}
 }
 
+// abortConnection closes the connection of a caller without an answer.
+func abortConnection(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
 // retryAfter returns when the caller of a request that did not run should retry.
 func (s *session) retryAfter() time.Duration {
 	if s.final.Reason != broker.ReasonLimited {
