Do not count an expired listing as a failure of the store

Cause (by reading): a listing whose time silent relays had used up called the store with an expired context, and its error kept this host from the store for 1.5 s. Change: it ends before that. TestExpiredListing fails without it. TestDeadRelays, new, passes with and without it: two relays of a zone that stay silent for good cost no more than 8 calls and no old copy.

Ruled out: longer delays for relays that stay silent. TestDeadRelays was the same without them, as a host tries its near relays again just after an answer, so that there is time left; reverted.

--- a/internal/broker/coordination/relayer/outage_test.go
+++ b/internal/broker/coordination/relayer/outage_test.go
@@ -198,3 +198,52 @@
 		t.Errorf("List() with an old copy: got revision %d, %v; want 100 from the store", known.Revision, err)
 	}
 }
+
+// TestDeadRelays guards against a copy that grows old because the host tries the relays of its zone again and again, which
+// were lost without a trace and stay in the store for minutes.
+func TestDeadRelays(t *testing.T) {
+	t.Parallel()
+	const (
+		limit  = 2500 * time.Millisecond // as in TestOldRelay
+		length = 12 * time.Second
+	)
+	first, second, far := newRelay(t), newRelay(t), newRelay(t)
+	silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	first.server.Config.Handler, second.server.Config.Handler = silent, silent
+	far.publish(200, map[string]uint64{"store": 1})
+	store, relays := &storeSource{}, NewRelays()
+	relays.Set(append(near(first, second), Candidate{Address: far.address, Far: true}), false)
+	copied := follower.New("test", NewSource("test", store, relays), func(follower.Update[string]) {},
+		follower.Options{Wait: 15 * time.Second, Gate: follower.NewGate()}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go copied.Run(ctx)
+	var oldest time.Duration
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		far.feed.Renew(knownNow(200))
+		oldest = max(oldest, time.Since(copied.Known().At))
+	}
+	if oldest > limit {
+		t.Errorf("oldest copy: got %s, want at most %s", oldest, limit)
+	}
+	if got, want := store.calls.Load(), int64(8); got > want {
+		t.Errorf("calls to the store in %s: got %d, want at most %d", length, got, want)
+	}
+}
+
+// TestExpiredListing guards against a listing whose time was used up by silent relays and that counts as a failure of the
+// store, which would then not be called for storeRetryInterval.
+func TestExpiredListing(t *testing.T) {
+	r, store, relays := newRelay(t), &storeSource{}, NewRelays()
+	r.server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	relays.Set(near(r), false)
+	source := NewSource("test", store, relays)
+	ctx, cancel := context.WithTimeout(t.Context(), requestSlack/2)
+	defer cancel()
+	if _, _, err := source.List(ctx, acceptAll); err == nil {
+		t.Error("List() behind a silent relay: got no error")
+	}
+	if _, known, err := source.List(t.Context(), acceptAll); err != nil || known.Revision != 100 {
+		t.Errorf("next List(): got revision %d, %v; want 100 from the store", known.Revision, err)
+	}
+}
--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -24,8 +24,11 @@
 }
 
 func (s *storeSource) List(
-	context.Context, broker.Accept[string],
+	ctx context.Context, _ broker.Accept[string],
 ) ([]broker.Item[string], broker.Knowledge, error) {
+	if ctx.Err() != nil {
+		return nil, broker.Knowledge{}, ctx.Err()
+	}
 	s.calls.Add(1)
 	return []broker.Item[string]{{Name: "store", Revision: 1}}, knownNow(100), s.err
 }
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -92,6 +92,9 @@
 	if !s.relays.mayCallStore(time.Now()) {
 		return nil, broker.Knowledge{}, s.storeAwayError("list")
 	}
+	if ctx.Err() != nil { // the relays have used up the time; that is no failure of the store
+		return nil, broker.Knowledge{}, &Error{Op: "list " + s.name, Kind: KindUnreachable, Err: errors.WithStack(ctx.Err())}
+	}
 	s.leaveRelay()
 	items, known, err := s.direct.List(ctx, accept)
 	s.recordStoreCall(known, err)
