Ask other hosts for their last state seldom once there is a copy

Cause: in an outage of the store each failed listing of each of four collections asked up to three hosts for their whole last state, uncompressed: 65 requests in 4 s in the new TestFallbacksInOutage. Change: a host that has a copy asks each 5 s at most, and the answers are compressed. The test fails without it.

A host that starts without a copy asks as before.

--- a/internal/broker/coordination/relayer/outage_test.go
+++ b/internal/broker/coordination/relayer/outage_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,3 +249,27 @@
 		t.Errorf("next List(): got revision %d, %v; want 100 from the store", known.Revision, err)
 	}
 }
+
+// TestFallbacksInOutage guards against whole collections that go between hosts again and again while the store is away:
+// a host that has a copy gains little from the last state of another one.
+func TestFallbacksInOutage(t *testing.T) {
+	t.Parallel()
+	const outage = 4 * time.Second
+	r, fallback, store, relays := newRelay(t), newRelay(t), &storeSource{err: errors.New("away")}, NewRelays()
+	var requests atomic.Int64
+	handler := fallback.server.Config.Handler
+	fallback.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		requests.Add(1)
+		handler.ServeHTTP(w, request)
+	})
+	relays.Set(near(r), false)
+	relays.SetFallbacks([]netip.AddrPort{fallback.address})
+	r.publish(10, map[string]uint64{"a": 5})
+	fallback.publish(10, map[string]uint64{"a": 5})
+	updates := followRelay(t, NewSource("test", store, relays))
+	<-updates
+	time.Sleep(maxAge + outage)
+	if got, want := requests.Load(), int64(outage/retryDelay)+1; got > want {
+		t.Errorf("requests for the last state in %s: got %d, want at most %d", outage, got, want)
+	}
+}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -51,6 +51,8 @@
 	lastRelay netip.AddrPort // relay that gave the last answer; invalid if the store gave a later one
 	position  string         // position in the change log of lastRelay
 	knownAt   time.Time      // time up to which the last answer has every change
+	// fallbackAt is when other hosts were last asked for their last state.
+	fallbackAt time.Time
 }
 
 // NewSource returns a source of the collection that relays serve under name; direct reads it from the store.
@@ -79,7 +81,7 @@
 		}
 	}
 	items, known, err := s.listStore(ctx, accept)
-	if err != nil {
+	if err != nil && s.mayRequestFallbacks(time.Now()) {
 		if answer, known, ok := s.requestFallbacks(ctx, accept); ok {
 			return answer.Items, known, nil
 		}
@@ -87,6 +89,18 @@
 	return items, known, err
 }
 
+// mayRequestFallbacks reports whether other hosts may be asked for their last state: always by a host without a copy, and
+// otherwise each retryDelay, because the answers are whole collections.
+func (s *Source[T]) mayRequestFallbacks(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.knownAt.IsZero() && now.Sub(s.fallbackAt) < retryDelay {
+		return false
+	}
+	s.fallbackAt = now
+	return true
+}
+
 // listStore lists the collection at the store.
 func (s *Source[T]) listStore(ctx context.Context, accept broker.Accept[T]) ([]broker.Item[T], broker.Knowledge, error) {
 	if !s.relays.mayCallStore(time.Now()) {
@@ -183,7 +197,7 @@
 	rand.Shuffle(len(fallbacks), func(i, k int) { fallbacks[i], fallbacks[k] = fallbacks[k], fallbacks[i] })
 	for _, fallback := range fallbacks[:min(len(fallbacks), maxFallbacks)] {
 		// ctx may have expired while the store did not answer.
-		answer, known, err := s.request(context.WithoutCancel(ctx), fallback, "old=1", fallbackTimeout)
+		answer, known, err := s.request(context.WithoutCancel(ctx), fallback, "old=1&far=1", fallbackTimeout)
 		if err == nil && answer.Full && accept(answer.Items, known) {
 			return answer, known, true
 		}
