--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -27,7 +27,7 @@
 		attribute.Int("attempts", len(message.Servers)))
 	defer span.End()
 	arrivedAt := time.Now()
-	f.work.arrived(arrivedAt)
+	f.work.arrived()
 	deadline := arrivedAt.Add(message.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -34,7 +34,7 @@
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	f.lastRequest.Store(int64(started.Sub(f.createdAt)))
-	f.work.arrived(started)
+	f.work.arrived()
 	if f.drainer.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
-	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
 
@@ -21,10 +19,6 @@
 	recordCheckInterval = 5 * time.Second
 	// minProbePause is the pause between two probes if the registered hosts change.
 	minProbePause = 100 * time.Millisecond
-	// standbyProbeInterval is the time between two probes by a host that is neither used nor among the next ones, and workPeriod
-	// is how long after the last work it probes as often as the others.
-	standbyProbeInterval = 5 * time.Second
-	workPeriod           = 5 * time.Second
 	// probeAllInterval is the pause between probes of all hosts, including those on standby. The record of a host is
 	// removed after maxMissedProbes missed answers in a row; a host that was only unreachable writes its record again.
 	probeAllInterval = time.Minute
@@ -120,42 +114,6 @@
 	}
 }
 
-// workload is when this host last had work.
-type workload struct {
-	start time.Time
-	last  atomic.Int64 // nanoseconds from start to the last request of a caller or another host
-	idle  atomic.Bool  // whether the host probes seldom
-	woken chan struct{}
-}
-
-func newWorkload(now time.Time) *workload {
-	return &workload{start: now, woken: make(chan struct{}, 1)}
-}
-
-// arrived records a request and wakes the probes of a host that was idle.
-func (w *workload) arrived(now time.Time) {
-	w.last.Store(int64(now.Sub(w.start)))
-	if w.idle.CompareAndSwap(true, false) {
-		select {
-		case w.woken <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// probeInterval returns the time until the next probe of other hosts. The load that it answers is the probes themselves,
-// which grow with the square of the number of hosts if all probe alike: needed are those of resolvers, of the hosts that
-// are used and of the ones next in order. A host that callers or other hosts turn to is used, whatever it believes.
-func (w *workload) probeInterval(needed bool, now time.Time) time.Duration {
-	last := w.last.Load()
-	used := last > 0 && now.Sub(w.start)-time.Duration(last) < workPeriod
-	w.idle.Store(!needed && !used)
-	if w.idle.Load() {
-		return standbyProbeInterval
-	}
-	return prober.DefaultInterval
-}
-
 // awaitProbe waits until the next probe is due, the first request arrives at an idle host, or the registered hosts have
 // changed: whether the hosts of a system that has just started are running is not known otherwise.
 func (f *Forwarder) awaitProbe(ctx context.Context, due time.Time) {
