--- a/internal/broker/coordination/relayer/outage_test.go
+++ b/internal/broker/coordination/relayer/outage_test.go
@@ -30,6 +30,14 @@
 	return updates
 }
 
+// end closes a relay at once. Without closing the listener first, the host may connect again before Close, which then waits
+// for the answer to its question.
+func (r *relay) end() {
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
 // restart serves a new feed at the address of a relay that was closed.
 func (r *relay) restart(t *testing.T) {
 	t.Helper()
@@ -64,8 +72,7 @@
 			r.publish(10, map[string]uint64{"a": 5})
 			updates := followRelay(t, NewSource("test", store, relays))
 			<-updates
-			r.server.CloseClientConnections()
-			r.server.Close()
+			r.end()
 			if tt.away < time.Minute {
 				time.Sleep(tt.away)
 				r.restart(t)
