--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "build deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec target/standin-2 -case late -record "$folder/record.txt"
+exec target/standin-2 -case evacuate -record "$folder/record.txt"
--- a/review/standin-2/hosts.go
+++ b/review/standin-2/hosts.go
@@ -52,13 +52,21 @@
 	{0, 1, false}, {0, 2, false}, {0, 3, true}, {1, 1, false}, {1, 2, true}, {2, 1, false}, {2, 2, true},
 }
 
+// machinesOfSearch are those of the small deployment ryddig-sok, in zonesOfSearch.
+var (
+	machinesOfSearch = []machine{
+		{0, 1, false}, {0, 2, true}, {1, 1, false}, {1, 2, false}, {1, 3, true}, {2, 1, true},
+	}
+	zonesOfSearch = []string{"vestland-a", "vestland-b", "vestland-c"}
+)
+
 // spares are the machines that may be added to it.
 var spares = []machine{{0, 4, false}, {1, 3, false}, {2, 3, false}}
 
 // start starts all hosts with the commands of deploy/system.toml.
 func (s *site) start() error {
 	var seeds []string
-	for _, m := range []machine{machines[0], machines[3], machines[5]} {
+	for _, m := range []machine{{0, 1, false}, {1, 1, false}, {2, 1, false}} {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.ip(m.zone, m.number), s.entryPort+9))
 	}
 	s.seeds = seeds
@@ -97,7 +105,7 @@
 	settings := map[string]any{
 		"node_name": name, "role": role, "machine_class": "edge", "serves": serves, "ip": s.ip(m.zone, m.number),
 		"zone": zones[m.zone], "region": "kvarner",
-		"zones":        map[string]string{"kv-a": "kvarner", "kv-b": "kvarner", "kv-c": "kvarner"},
+		"zones":        map[string]string{zones[0]: "kvarner", zones[1]: "kvarner", zones[2]: "kvarner"},
 		"listen_addrs": listen, "port_range": []int{s.peerPort, s.peerPort + 15}, "seed_nodes": s.seeds, "bootstrap": bootstrap,
 		"in_tolerance": false, "data_dir": nil, "discovery": "platform", "entrypoint": "directory", "heartbeat_ms": 1200,
 		"limits": map[string]any{"cpu_quota": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0,
@@ -106,7 +114,7 @@
 		"fault_tolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0},
 		"bounds": map[string]any{"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000, "ack_timeout_ms": 5000,
 			"catch_up_s": 4, "drain_ms": 3000, "grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 3000,
-			"downgrade_ms": 250, "max_skew_ms": 12000, "retry_budget": 0.2, "budget_window_s": 10, "budget_slack": 54,
+			"downgrade_ms": 250, "max_skew_ms": 12000, "retry_budget": 0.2, "budget_window_s": 10, "budget_slack": service.budgetSlack,
 			"warmup_overshoot": 1.5, "warmup_slack": 5, "evacuate_ms": 5000, "recovery_s": 12, "ttl_max_s": 5},
 		"platform": map[string]any{"address": s.store, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
 			"history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,6 @@
 
 const (
 	hostName = "search.example"
-	service  = "calc-archive"
 	prefix   = "/calc/"
 )
 
@@ -47,11 +46,15 @@
 }
 
 func main() {
-	name := flag.String("case", "", "recover, drain, late or directory")
+	name := flag.String("case", "", "recover, drain, late, directory or evacuate")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	cases := map[string]func(*play) (int, error){"recover": recoverCase, "drain": drainCase, "late": lateCase, "directory": directoryCase}
+	cases := map[string]func(*play) (int, error){"recover": recoverCase, "drain": drainCase, "late": lateCase, "directory": directoryCase,
+		"evacuate": evacuateCase}
 	run := cases[*name]
+	if *name == "evacuate" {
+		service, machines, zones = caseFiles, machinesOfSearch, zonesOfSearch
+	}
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(failed)
@@ -128,7 +131,7 @@
 		return failed, fmt.Errorf("the hosts did not become ready")
 	}
 	time.Sleep(5 * time.Second) // the hosts are in touch from contact_ms after their start
-	p.clients, p.begin = newClients(p.site, prefix, 5*time.Second, once), time.Now()
+	p.clients, p.begin = newClients(p.site, prefix, service.deadline, once), time.Now()
 	return run(p)
 }
 
@@ -167,7 +170,7 @@
 	return fmt.Errorf("no free ports")
 }
 
-// configuration is the configuration of one route to one service, with the figures of the site zk-search.
+// configuration is the configuration of one route to one service, with the figures of the site.
 func configuration(once bool) map[string]any {
 	kind := "idempotent"
 	if once {
@@ -176,23 +179,38 @@
 	return map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{"name": "r-calc", "host": hostName, "path_prefix": prefix, "type": kind,
-			"timeout_ms": 5000, "target_latency_ms": 500, "priority": 2, "service": service, "max_attempts": 2}},
-		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 39, "protocol": "h1",
+			"timeout_ms": service.deadline.Milliseconds(), "target_latency_ms": service.target.Milliseconds(), "priority": 2,
+			"service": service.name, "max_attempts": 2}},
+		"services": []any{map[string]any{"name": service.name, "health_path": "/healthz", "max_conns": service.connections, "protocol": "h1",
 			"tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
 			"idle_timeout_ms": 15000},
 	}
 }
 
-// backendCount is the number of backends of the service, as on the site zk-search.
-const backendCount = 9
+// serviceFigures are the figures of a service on a site's sheet.
+type serviceFigures struct {
+	name             string
+	backends         int // in the zones by turns
+	slots, queue     int
+	connections      int
+	work             float64 // mean, in milliseconds
+	deadline, target time.Duration
+	budgetSlack      int // of the site
+}
+
+var (
+	calcArchive = serviceFigures{"calc-archive", 9, 3, 12, 39, 120, 5 * time.Second, 500 * time.Millisecond, 54} // of zk-search
+	caseFiles   = serviceFigures{"saksvisning", 5, 4, 16, 96, 90, 6 * time.Second, 400 * time.Millisecond, 52}   // of ryddig-sok
+	service     = calcArchive
+)
 
 func (p *play) startBackends() error {
-	for i := range backendCount {
-		b := &backend{id: fmt.Sprintf("i-%d", i+1), service: service, zone: zones[i%3], slots: 3, queue: 12, connections: 39,
-			log: p.log}
+	for i := range service.backends {
+		b := &backend{id: fmt.Sprintf("i-%d", i+1), service: service.name, zone: zones[i%3], slots: service.slots,
+			queue: service.queue, connections: service.connections, log: p.log}
 		b.work = func() time.Duration {
-			ms := min(max(120*(1+0.5*rand.NormFloat64()), 20), 720)
+			ms := service.work * min(max(1+0.5*rand.NormFloat64(), 1.0/6), 6)
 			return time.Duration(ms * p.slowness() * float64(time.Millisecond))
 		}
 		b.loses = func() bool { return i < 7 && rand.Float64() < p.lossRate() }
