--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -13,7 +13,7 @@
 	const (
 		addAt      = 6 * time.Second
 		removeAt   = 12 * time.Second
-		gap        = 1300 * time.Millisecond
+		gap        = 2 * time.Second
 		killAt     = 34 * time.Second
 		back       = 500 * time.Millisecond
 		recoveryIn = 12 * time.Second // recovery_s
