--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,31 +104,33 @@
 	logger            *slog.Logger
 	requestLogLimiter *logger.Limiter // limits the log lines of requests that were refused, slow or had failed attempts
 
-	drainer    *drainer.Drainer
-	cutoff     *cutoff
-	tracker    *tracker.Tracker
-	registrar  *registrar.Registrar
-	dispatcher *dispatcher.Dispatcher
-	budgets    *budgeter.Shards
-	prober     *prober.Prober
-	gate       *follower.Gate
-	relays     *relayer.Relays
-	delegates  *delegator.Delegates
-	messenger  broker.DelegationSender
-	isolation  isolation
-	load       load
-	quarantine *quarantine
-	notices    *notices
-	feeds      feeds
-	lifetime   addressLifetime
-	divided    atomic.Pointer[dividedHosts]
-	process    string      // identifies this process
-	passesOn   atomic.Bool // other hosts read collections from this one
-	hostsKnown signal      // the registered hosts have been read
-	recorded   signal      // the store has the record of this host
-	work       *workload
-	probeNow   chan struct{} // receives when the registered hosts have changed
-	tasks      sync.WaitGroup
+	drainer     *drainer.Drainer
+	cutoff      *cutoff
+	tracker     *tracker.Tracker
+	registrar   *registrar.Registrar
+	dispatcher  *dispatcher.Dispatcher
+	budgets     *budgeter.Shards
+	prober      *prober.Prober
+	gate        *follower.Gate
+	relays      *relayer.Relays
+	delegates   *delegator.Delegates
+	messenger   broker.DelegationSender
+	isolation   isolation
+	load        load
+	quarantine  *quarantine
+	notices     *notices
+	feeds       feeds
+	lifetime    addressLifetime
+	divided     atomic.Pointer[dividedHosts]
+	process     string      // identifies this process
+	passesOn    atomic.Bool // other hosts read collections from this one
+	hostsKnown  signal      // the registered hosts have been read
+	recorded    signal      // the store has the record of this host
+	work        *workload
+	probeNow    chan struct{} // receives when the next round of probes is to begin at once
+	probeRounds *probeRounds
+	stopping    atomic.Bool // a planned stop of a resolver has begun
+	tasks       sync.WaitGroup
 
 	reloadable  atomic.Pointer[Settings] // settings as last reloaded
 	createdAt   time.Time
@@ -142,7 +144,7 @@
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		requestLogLimiter: logger.NewLimiter(requestLogRate, requestLogBurst),
 		tracker:           tracker.New(), gate: follower.NewGate(), createdAt: time.Now(),
-		work: newWorkload(time.Now()), probeNow: make(chan struct{}, 1), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
+		work: newWorkload(time.Now()), probeNow: make(chan struct{}, 1), probeRounds: newProbeRounds(), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
 	}
 	f.reloadable.Store(&deps.Settings)
 	f.cutoff = newCutoff()
@@ -206,7 +208,7 @@
 	if callers != nil {
 		err = f.stop(force, callers)
 	} else {
-		stopResolving(auxiliary)
+		f.stopResolving(force, auxiliary)
 	}
 	stopWork()
 	closeAll(auxiliary)
@@ -282,8 +284,14 @@
 	}
 }
 
-// stopResolving ends the acceptance of connections by a resolver. Look-ups on open connections are still answered.
-func stopResolving(servers []*listeningServer) {
+// stopResolving answers look-ups until callers have had the time to learn of all hosts, because this resolver may have been
+// the last one that they reach, and then ends the acceptance of connections. Look-ups on open connections are still
+// answered.
+func (f *Forwarder) stopResolving(force context.Context, servers []*listeningServer) {
+	f.stopping.Store(true)
+	if len(f.namedHosts()) > 0 {
+		waiter.Wait(force, min(maxAddressLifetime, f.reloadable.Load().StopDeadline-lookUpFlushTime))
+	}
 	for _, server := range servers {
 		_ = server.listener.Close()
 	}
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -93,6 +93,11 @@
 	f.hostsKnown.send()
 	f.relays.SetFallbacks(f.fallbackAddresses())
 	f.updateHostShare()
+	f.requestProbes()
+}
+
+// requestProbes has the next round of probes begin at once.
+func (f *Forwarder) requestProbes() {
 	select {
 	case f.probeNow <- struct{}{}:
 	default:
@@ -105,6 +110,7 @@
 		started := time.Now()
 		candidates := f.probeCandidates()
 		f.prober.Probe(ctx, candidates)
+		f.probeRounds.completed(started)
 		f.load.sampleProcessorTime(time.Now(), processorTime())
 		f.load.updateWanted(f.prober.Load() + f.load.ownCores())
 		f.updateHostShare()
@@ -114,8 +120,9 @@
 	}
 }
 
-// awaitProbe waits until the next probe is due, the first request arrives at an idle host, or the registered hosts have
-// changed: whether the hosts of a system that has just started are running is not known otherwise.
+// awaitProbe waits until the next probe is due, the first request arrives at an idle host, a look-up needs newer answers,
+// or the registered hosts have changed: whether the hosts of a system that has just started are running is not known
+// otherwise.
 func (f *Forwarder) awaitProbe(ctx context.Context, due time.Time) {
 	if !waiter.Wait(ctx, minProbePause) {
 		return
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 )
 
 const (
@@ -20,6 +21,10 @@
 	minCapacity = 1.2
 	// spareCandidates is how many further hosts are probed, so that hosts that take over are known to be running.
 	spareCandidates = 4
+	// A look-up waits up to lookUpProbeWait for new probes if the last ones are older than lookUpProbeAge, as in standby.
+	// Callers wait 1 s for an answer.
+	lookUpProbeAge  = 3 * prober.DefaultInterval / 2
+	lookUpProbeWait = 300 * time.Millisecond
 )
 
 // Resolve returns the addresses that a caller in a zone should use, and for how long. If there are none, the caller
@@ -31,7 +36,8 @@
 // connections; hosts in the zones of the servers come first.
 func (f *Forwarder) Resolve(string) ([]netip.AddrPort, time.Duration) {
 	f.meters.resolve.Inc()
-	hosts := f.serving()
+	f.awaitRecentProbes()
+	hosts := f.namedHosts()
 	rand.Shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
 	entries := make([]netip.AddrPort, 0, len(hosts))
 	for i := range hosts {
@@ -40,6 +46,32 @@
 	return entries, f.lifetime.current(time.Now())
 }
 
+// namedHosts returns the hosts for a resolve answer. A resolver that stops names all that take requests: its callers keep
+// these addresses until they find another resolver.
+func (f *Forwarder) namedHosts() []broker.HostRecord {
+	if !f.stopping.Load() {
+		return f.serving()
+	}
+	hosts, _ := f.usable()
+	hosts = orderHosts(hosts, f.locality())
+	return hosts[:min(len(hosts), maxServingHosts)]
+}
+
+// awaitRecentProbes has the other hosts probed now unless they were recently, and waits for the answers.
+func (f *Forwarder) awaitRecentProbes() {
+	last, next := f.probeRounds.state()
+	if time.Since(last) < lookUpProbeAge {
+		return
+	}
+	f.requestProbes()
+	timer := time.NewTimer(lookUpProbeWait)
+	defer timer.Stop()
+	select {
+	case <-next:
+	case <-timer.C:
+	}
+}
+
 // serving returns the hosts that callers are sent to.
 func (f *Forwarder) serving() []broker.HostRecord {
 	hosts, suspect := f.usable()
