Name only hosts that have answered a probe lately

Cause: Prober.Usable counts hosts that were never probed as healthy, and only the serving hosts and the next four are probed. Hosts that were probed once, and are no longer, have the same fault: their state has no age.

Change: resolve answers name hosts that have answered a probe within 5 s only; delegates must have answered within 10 s. Whom to probe, and the shares of limits, still go by all hosts that are not known to be silent. While too few hosts have answered, the next round of probes begins at once and takes twice as many further hosts.

Ruled out: probes of all hosts (they grow with the square); unprobed hosts unusable everywhere (a host that starts would use the whole of a server's limit).

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -70,6 +70,8 @@
 	record  broker.HostRecord
 	machine *fsm.FSM
 	load    float64 // processor cores in use, from the last probe
+	// answeredAt is when the last probe that the host answered was sent, or zero.
+	answeredAt time.Time
 	// process is Answer.Process of the last answer, and quarantine is Answer.Quarantine of the last probe.
 	process, quarantine string
 }
@@ -122,7 +124,8 @@
 	}})
 }
 
-// Usable returns the hosts that callers may use, and separately those that missed only the last probe.
+// Usable returns the hosts that are not known to refuse or miss requests, and separately those that missed only the last
+// probe. A host that was never probed, or not for long, may be gone: Confirmed leaves it out.
 func (p *Prober) Usable() (healthy, suspect []broker.HostRecord) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,13 +140,31 @@
 	return healthy, suspect
 }
 
-// Ready returns the names of the hosts that took requests at their last probe.
-func (p *Prober) Ready() map[string]bool {
+// Confirmed returns what Usable does, without the hosts that have not answered a probe within maxAge.
+func (p *Prober) Confirmed(maxAge time.Duration) (healthy, suspect []broker.HostRecord) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.hosts {
+		if time.Since(h.answeredAt) > maxAge {
+			continue
+		}
+		switch h.machine.Current() {
+		case StateReady:
+			healthy = append(healthy, h.current())
+		case StateSuspect:
+			suspect = append(suspect, h.current())
+		}
+	}
+	return healthy, suspect
+}
+
+// Ready returns the names of the hosts that took requests at their last probe, if that was within maxAge.
+func (p *Prober) Ready(maxAge time.Duration) map[string]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ready := make(map[string]bool, len(p.hosts))
 	for name, h := range p.hosts {
-		if h.machine.Current() == StateReady {
+		if h.machine.Current() == StateReady && time.Since(h.answeredAt) <= maxAge {
 			ready[name] = true
 		}
 	}
@@ -235,6 +256,7 @@
 func (p *Prober) probe(ctx context.Context, h *host) {
 	callCtx, cancel := context.WithTimeout(ctx, p.options.Timeout)
 	defer cancel()
+	sent := time.Now()
 	answer, err := p.check(callCtx, h.record)
 	if ctx.Err() != nil {
 		return
@@ -251,7 +273,7 @@
 	defer p.mu.Unlock()
 	h.load, h.quarantine = answer.Load, answer.Quarantine
 	if err == nil {
-		h.process = answer.Process
+		h.process, h.answeredAt = answer.Process, sent
 	}
 	// The library returns an error if the state does not change; this needs no action.
 	_ = h.machine.Event(ctx, event)
--- a/internal/broker/coordination/prober/prober_test.go
+++ b/internal/broker/coordination/prober/prober_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,7 +55,7 @@
 			if got := slices.ContainsFunc(suspect, named); got != tt.wantSus {
 				t.Errorf("suspect: got %v, want %v", got, tt.wantSus)
 			}
-			if got := p.Ready()["a"]; got != tt.wantSure {
+			if got := p.Ready(time.Minute)["a"]; got != tt.wantSure {
 				t.Errorf("answered its last probe: got %v, want %v", got, tt.wantSure)
 			}
 			record.Process = "second"
@@ -65,3 +66,41 @@
 		})
 	}
 }
+
+// TestAnswerAge guards against a host that is taken for ready by an answer of long ago, after which it was not probed.
+func TestAnswerAge(t *testing.T) {
+	const maxAge = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		answering := true
+		p := New(func(context.Context, broker.HostRecord) (Answer, error) {
+			if !answering {
+				return Answer{}, errors.New("no answer")
+			}
+			return Answer{Ready: true}, nil
+		}, Options{Timeout: time.Second}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+		p.SetHosts(map[string]broker.HostRecord{"a": {Name: "a"}})
+		check := func(moment string, wantHealthy, wantSuspect int) {
+			t.Helper()
+			healthy, suspect := p.Confirmed(maxAge)
+			if len(healthy) != wantHealthy || len(suspect) != wantSuspect {
+				t.Errorf("%s: got %d healthy and %d suspect, want %d and %d", moment, len(healthy), len(suspect), wantHealthy, wantSuspect)
+			}
+			if got := len(p.Ready(maxAge)); got != wantHealthy {
+				t.Errorf("%s: got %d ready, want %d", moment, got, wantHealthy)
+			}
+		}
+		check("before the first probe", 0, 0)
+		p.Probe(t.Context(), []string{"a"})
+		check("after an answer", 1, 0)
+		time.Sleep(maxAge + time.Second)
+		check("long after an answer", 0, 0)
+		answering = false
+		p.Probe(t.Context(), []string{"a"})
+		check("a missed probe long after an answer", 0, 0)
+		answering = true
+		p.Probe(t.Context(), []string{"a"})
+		answering = false
+		p.Probe(t.Context(), []string{"a"})
+		check("a missed probe just after an answer", 0, 1)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -289,6 +289,7 @@
 // answered.
 func (f *Forwarder) stopResolving(force context.Context, servers []*listeningServer) {
 	f.stopping.Store(true)
+	f.requestProbes()
 	if len(f.namedHosts()) > 0 {
 		waiter.Wait(force, min(maxAddressLifetime, f.reloadable.Load().StopDeadline-lookUpFlushTime))
 	}
@@ -420,8 +421,8 @@
 	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
 	f.lifetime.observe(serving, time.Now())
 	f.registrar.SetRole(f.ownRole(serving, helping))
-	// A host that has not answered yet may be gone, and a delegation to it would take until its dial timeout.
-	ready := f.prober.Ready()
+	// A host that has not answered lately may be gone, and a delegation to it would take until its dial timeout.
+	ready := f.prober.Ready(2 * standbyProbeInterval)
 	f.delegates.Set(slices.DeleteFunc(slices.Concat(serving, helping), func(host broker.HostRecord) bool {
 		return !ready[host.Name]
 	}))
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -106,11 +106,18 @@
 
 // probeHosts regularly probes the serving hosts and those next in order, and updates the load from their answers.
 func (f *Forwarder) probeHosts(ctx context.Context) {
+	spares := spareCandidates
 	for ctx.Err() == nil {
 		started := time.Now()
-		candidates := f.probeCandidates()
+		candidates := f.probeCandidates(spares)
 		f.prober.Probe(ctx, candidates)
 		f.probeRounds.completed(started)
+		if f.lacksAnswers(candidates) {
+			spares *= 2
+			f.requestProbes()
+		} else {
+			spares = spareCandidates
+		}
 		f.load.sampleProcessorTime(time.Now(), processorTime())
 		f.load.updateWanted(f.prober.Load() + f.load.ownCores())
 		f.updateHostShare()
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -19,8 +19,12 @@
 	minServingHosts = 3
 	// minCapacity is the minimum total capacity of the serving hosts, in processor cores.
 	minCapacity = 1.2
-	// spareCandidates is how many further hosts are probed, so that hosts that take over are known to be running.
+	// spareCandidates is how many further hosts are probed, so that hosts that take over are known to be running. While too
+	// few hosts answer, it doubles with each round.
 	spareCandidates = 4
+	// maxAnswerAge is how long a host is named after its last answer to a probe. It is no shorter than the pause between the
+	// probes of a host in standby.
+	maxAnswerAge = standbyProbeInterval
 	// A look-up waits up to lookUpProbeWait for new probes if the last ones are older than lookUpProbeAge, as in standby.
 	// Callers wait 1 s for an answer.
 	lookUpProbeAge  = 3 * prober.DefaultInterval / 2
@@ -46,15 +50,18 @@
 	return entries, f.lifetime.current(time.Now())
 }
 
-// namedHosts returns the hosts for a resolve answer. A resolver that stops names all that take requests: its callers keep
-// these addresses until they find another resolver.
+// namedHosts returns the hosts for a resolve answer: of those that have answered a probe recently, the ones that callers are
+// sent to. A resolver that stops names all that take requests: its callers keep these addresses until they find another
+// resolver.
 func (f *Forwarder) namedHosts() []broker.HostRecord {
-	if !f.stopping.Load() {
-		return f.serving()
+	healthy, suspect := f.prober.Confirmed(maxAnswerAge)
+	healthy = f.withOwn(healthy)
+	if f.stopping.Load() {
+		healthy = orderHosts(healthy, f.locality())
+		return healthy[:min(len(healthy), maxServingHosts)]
 	}
-	hosts, _ := f.usable()
-	hosts = orderHosts(hosts, f.locality())
-	return hosts[:min(len(hosts), maxServingHosts)]
+	chosen, _ := f.choose(healthy, suspect)
+	return chosen
 }
 
 // awaitRecentProbes has the other hosts probed now unless they were recently, and waits for the answers.
@@ -72,25 +79,36 @@
 	}
 }
 
-// serving returns the hosts that callers are sent to.
+// serving returns the hosts that callers are sent to as far as is known. Hosts that were not probed yet are among them, so
+// that they are probed, and that the shares of this host are not too large meanwhile.
 func (f *Forwarder) serving() []broker.HostRecord {
-	hosts, suspect := f.usable()
+	chosen, _ := f.choose(f.usable())
+	return chosen
+}
+
+// choose returns the hosts to send callers to, and whether they have the wanted capacity. A single missed answer can be a
+// glitch, so a suspect host is only left out if others can take its place.
+func (f *Forwarder) choose(healthy, suspect []broker.HostRecord) (chosen []broker.HostRecord, enough bool) {
 	wanted, locality := f.load.wantedCapacity(), f.locality()
-	chosen, enough := chooseHosts(hosts, locality, wanted)
-	// A single missed answer can be a glitch, so a suspect host is only left out if others can take its place.
+	chosen, enough = chooseHosts(healthy, locality, wanted)
 	if len(suspect) > 0 && !enough {
-		chosen, _ = chooseHosts(append(hosts, suspect...), locality, wanted)
+		chosen, _ = chooseHosts(append(healthy, suspect...), locality, wanted)
 	}
-	return chosen
+	return chosen, enough
 }
 
 // usable returns the hosts that may take requests, this one among them, and those that have missed a single probe.
 func (f *Forwarder) usable() (healthy, suspect []broker.HostRecord) {
 	healthy, suspect = f.prober.Usable()
+	return f.withOwn(healthy), suspect
+}
+
+// withOwn adds this host if it takes requests.
+func (f *Forwarder) withOwn(hosts []broker.HostRecord) []broker.HostRecord {
 	if f.Ready() == nil {
-		healthy = append(healthy, f.ownRecord())
+		hosts = append(hosts, f.ownRecord())
 	}
-	return healthy, suspect
+	return hosts
 }
 
 // zoneDelegates returns one host for each zone that has servers of scatters and no serving host. They send requests of
@@ -171,9 +189,9 @@
 	return hosts
 }
 
-// probeCandidates returns the names of the serving hosts, of those next in order and of the delegates. Only these are
-// probed, because probes between all hosts would grow with the square of their number.
-func (f *Forwarder) probeCandidates() []string {
+// probeCandidates returns the names of the serving hosts, of the spares next in order and of the delegates. Only these are
+// probed, because probes between all hosts would grow with the square of their number. A resolver that stops probes all.
+func (f *Forwarder) probeCandidates(spares int) []string {
 	serving := make(map[string]bool)
 	hosts := f.serving()
 	for _, host := range hosts {
@@ -182,12 +200,12 @@
 	known := orderHosts(append(f.prober.Known(), f.ownRecord()), f.locality())
 	last := 0
 	for i, host := range known {
-		if serving[host.Name] {
+		if serving[host.Name] || f.stopping.Load() {
 			last = i
 		}
 	}
-	names := make([]string, 0, last+1+spareCandidates)
-	for _, host := range known[:min(len(known), last+1+spareCandidates)] {
+	names := make([]string, 0, last+1+spares)
+	for _, host := range known[:min(len(known), last+1+spares)] {
 		names = append(names, host.Name)
 	}
 	for _, host := range f.zoneDelegates(hosts) {
@@ -198,6 +216,17 @@
 	return names
 }
 
+// lacksAnswers returns whether the hosts that have answered a probe recently have less than the wanted capacity although
+// further hosts may have it.
+func (f *Forwarder) lacksAnswers(probed []string) bool {
+	healthy, suspect := f.prober.Confirmed(maxAnswerAge)
+	if _, enough := f.choose(f.withOwn(healthy), suspect); enough {
+		return false
+	}
+	healthy, _ = f.usable()
+	return slices.ContainsFunc(healthy, func(host broker.HostRecord) bool { return !slices.Contains(probed, host.Name) })
+}
+
 // fallbackAddresses returns the addresses of the hosts that are asked for their last state of a collection if this host
 // starts while it cannot read the store.
 func (f *Forwarder) fallbackAddresses() []netip.AddrPort {
