Ask before the first byte whether a server still takes requests

Cause: requests wait for one of the host's few connections to a slow server, until their own deadline. Whether the server takes requests was checked when the attempt began. The record shows it: the late requests came before the drain and had not arrived anywhere before.

Change: ServerRequest.Refusal is asked before the first byte, and whenever the view of the servers changes while the request waits. It covers servers that drain, are gone, have stated that they leave or want a pause. The request has not run; the session chooses again, by the current view, and takes no retry token, as nothing reached a server. Attempts in the first second use the current view, too. A large body, written in the background, counted as sent before the check; it is asked first now.

Ruled out: a limit on the wait (either too long for the bound or too short for requests that would be served); a check before sending only (the request would hold a place in the queue of a server that it can't use).

--- a/internal/broker/coordination/scatterer/answer.go
+++ b/internal/broker/coordination/scatterer/answer.go
@@ -216,9 +216,9 @@
 	if unavailable != broker.ReasonNone {
 		return false
 	}
-	// The budget limits extra load on backend servers. An attempt refused by a node never reached one, and during a
-	// planned handover a share of all attempts is refused.
-	exempt := outcome == broker.OutcomeNotRun && tryOtherOwner(reason)
+	// The budget limits extra load on backend servers. An attempt refused by a node, or withheld by a host that sends itself,
+	// never reached one, and during a planned handover a share of all attempts is refused.
+	exempt := outcome == broker.OutcomeNotRun && (tryOtherOwner(reason) || s.strategy.Direct && reason.Withheld())
 	if !exempt && !s.takeRetryToken(sh) {
 		s.returnToken(chosen)
 		s.stats.RetriesDenied++
--- a/internal/broker/coordination/scatterer/strategy.go
+++ b/internal/broker/coordination/scatterer/strategy.go
@@ -43,6 +43,9 @@
 	Target time.Duration
 	// MaxAttempts is the most servers that the request of one shard may run on, zero for the limit of the package.
 	MaxAttempts int
+	// Withheld reports whether a server gets no new requests by now. It is asked for attempts after the start; nil means that
+	// the view of the session decides for all.
+	Withheld func(server broker.ServerName) bool
 	// Budgets limit hedges and retries by shard, in place of the budgets of the request kind.
 	Budgets *budgeter.Shards
 }
@@ -125,6 +128,10 @@
 			reason = moreSpecific(reason, broker.ReasonUnreachable)
 			continue
 		}
+		if s.now > 0 && s.strategy.Withheld != nil && s.strategy.Withheld(replica.Name) {
+			reason = moreSpecific(reason, broker.ReasonDraining)
+			continue
+		}
 		if withheld := s.withheldReason(sh, replica.Server); withheld != broker.ReasonNone {
 			reason = moreSpecific(reason, withheld)
 			s.stats.Withheld++
--- a/internal/broker/outcome.go
+++ b/internal/broker/outcome.go
@@ -67,6 +67,12 @@
 	ReasonMismatch        Reason = "mismatchedAnswer"
 )
 
+// Withheld reports whether the reason is one for which this system sends nothing to a server that could take requests: the
+// server is leaving, its availability zone is out, or it asked for fewer requests.
+func (r Reason) Withheld() bool {
+	return r == ReasonDraining || r == ReasonZoneOut || r == ReasonLimited
+}
+
 // Status is the overall result of a query as returned to the caller.
 type Status string
 
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -94,6 +94,12 @@
 	Body   []byte
 	// Reuse reports whether the connection may be reused after an answer with this header. A nil Reuse always allows it.
 	Reuse func(header http.Header) bool
+	// Refusal is called immediately before the first byte of the request is sent, and while the request waits for a connection
+	// whenever a channel from Changed is closed; with a reason other than ReasonNone, the request is not sent. A nil Refusal
+	// allows every request.
+	Refusal func() Reason
+	// Changed returns a channel that is closed when Refusal may return another reason; nil means that it does not change.
+	Changed func() <-chan struct{}
 }
 
 // ServerReply is the result of one request to a backend server.
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
@@ -71,6 +72,7 @@
 	tracker *tracker.Tracker
 	sink    Sink
 	view    *holder.Holder[View]
+	changed atomic.Pointer[chan struct{}]
 
 	mu           sync.Mutex
 	zone         string   // availability zone of this host
@@ -89,16 +91,22 @@
 
 // New returns a registrar of a host in zone without a configuration.
 func New(track *tracker.Tracker, sink Sink, zone string, zones []string) *Registrar {
-	return &Registrar{
+	r := &Registrar{
 		tracker: track, sink: sink, view: holder.New[View](nil), zone: zone, zones: zones,
 		servers: map[string]serverEntry{}, missingUntil: map[string]time.Time{}, missing: map[string]serverEntry{},
 		zonesToLeave: map[string]bool{},
 	}
+	changed := make(chan struct{})
+	r.changed.Store(&changed)
+	return r
 }
 
 // View returns the current view, or nil before the first configuration.
 func (r *Registrar) View() *View { return r.view.Load() }
 
+// Changed returns a channel that is closed when there is another view than the current one.
+func (r *Registrar) Changed() <-chan struct{} { return *r.changed.Load() }
+
 // Adopt applies catalog if it is newer than the current configuration, and reports whether it did.
 func (r *Registrar) Adopt(catalog *broker.Catalog) bool {
 	r.mu.Lock()
@@ -311,6 +319,8 @@
 		}
 		return next
 	})
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
 }
 
 // applyServer tells the tracker that a server takes requests, and retains connections to it.
--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -142,7 +142,7 @@
 	}
 	e := exchange{
 		method: http.MethodPost, path: PathSearch, payload: payload, trace: req.Sub.TraceParent,
-		permit: req.Permit,
+		allowed: permission{permit: req.Permit},
 	}
 	var result broker.BackendResult
 	e.mayReuse = func(r *reply) bool {
@@ -161,7 +161,7 @@
 // exchangeOnce sends the request. It tries a second, new connection only if a reused one failed before any byte was
 // written.
 func (d *Dispatcher) exchangeOnce(ctx context.Context, p *pool, e *exchange, fresh bool) (*reply, error) {
-	c, err := p.acquire(ctx, fresh)
+	c, err := p.acquire(ctx, fresh, e.allowed)
 	if err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 	if err == nil || e.sent || !e.reused || kindOf(err) != KindLost || ctx.Err() != nil {
 		return reply, err
 	}
-	if c, err = p.acquire(ctx, true); err != nil {
+	if c, err = p.acquire(ctx, true, e.allowed); err != nil {
 		return nil, err
 	}
 	return d.exchangeOn(ctx, p, c, e)
--- a/internal/broker/transport/dispatcher/errors.go
+++ b/internal/broker/transport/dispatcher/errors.go
@@ -12,7 +12,7 @@
 	KindInterrupted     Kind = "interrupted"     // the context was done before the answer was complete
 	KindSilent          Kind = "silent"          // no answer on a reused connection within the first-byte timeout
 	KindLost            Kind = "connectionLost"  // the connection failed during the exchange
-	KindWithheld        Kind = "withheld"        // BackendRequest.Permit did not allow the request
+	KindWithheld        Kind = "withheld"        // the sender did not allow the request any more
 	KindTooLarge        Kind = "answerTooLarge"
 	KindMalformed       Kind = "malformedAnswer"
 	KindStatus          Kind = "unexpectedStatus"
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -27,7 +27,7 @@
 	head     []byte // complete head of a prepared request; replaces path and trace
 	payload  []byte
 	trace    string            // trace context, or empty
-	permit   func() bool       // called before the first byte; nil allows every request
+	allowed  permission        // is asked before the first byte, and while the request waits for a connection
 	mayReuse func(*reply) bool // called with each answer: whether the connection may be reused; nil allows it
 
 	sent   bool // a byte of the request may have left this host
@@ -51,7 +51,7 @@
 	e.reused, e.outages = c.reused, int(p.outages.Load())
 	held := &holding{budget: &d.budget}
 	defer held.release()
-	c.startRequest(e.permit, maxHeaderBytes, held)
+	c.startRequest(e.allowed.permit, maxHeaderBytes, held)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	answer, keep, err := d.roundTrip(ctx, c, e, held)
 	c.used = true
@@ -132,7 +132,10 @@
 		written <- nil
 		return written, c.writer.Flush()
 	}
-	e.sent = true
+	if !e.allowed.granted() {
+		return nil, errNotPermitted
+	}
+	c.permit, e.sent = nil, true
 	go func() {
 		err := e.write(ctx, c)
 		if err == nil {
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -33,12 +33,22 @@
 		return broker.ServerReply{Reason: broker.ReasonNoReplica}
 	}
 	e := exchange{method: request.Method, head: request.Head, payload: request.Body}
+	refusal := broker.ReasonNone
+	if request.Refusal != nil {
+		e.allowed = permission{changed: request.Changed, permit: func() bool {
+			refusal = request.Refusal()
+			return refusal == broker.ReasonNone
+		}}
+	}
 	if request.Reuse != nil {
 		e.mayReuse = func(r *reply) bool { return request.Reuse(r.header) }
 	}
 	reply, err := d.exchangeOnce(ctx, p, &e, false)
 	if err != nil {
 		reason := reasonOf(ctx, err)
+		if kindOf(err) == KindWithheld {
+			reason = refusal
+		}
 		if reason == broker.ReasonCrashed {
 			// A closed connection does not prove that the server crashed.
 			reason = broker.ReasonLost
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -46,10 +46,40 @@
 	outages     atomic.Int64 // times that the server has answered again after a failed dial
 }
 
-// acquire returns a connection for exclusive use and waits for one while the limit is reached. With fresh set, it
-// opens a new connection.
-func (p *pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
+// permission decides whether a request may be sent. Its zero value allows every request.
+type permission struct {
+	permit func() bool // asked before the first byte; nil allows the request
+	// changed returns a channel that is closed when permit may return another value. With nil, permit is not asked while the
+	// request waits for a connection.
+	changed func() <-chan struct{}
+}
+
+func (p permission) granted() bool { return p.permit == nil || p.permit() }
+
+// withdrawn returns an error if the request may not wait for a connection any longer.
+func (p permission) withdrawn() error {
+	if p.changed == nil || p.granted() {
+		return nil
+	}
+	return &Error{Op: "acquire connection", Kind: KindWithheld, Err: errNotPermitted}
+}
+
+// nextChange returns a channel that is closed at the next change, nil if there is none.
+func (p permission) nextChange() <-chan struct{} {
+	if p.changed == nil {
+		return nil
+	}
+	return p.changed()
+}
+
+// acquire returns a connection for exclusive use and waits for one while the limit is reached and the request may be sent.
+// With fresh set, it opens a new connection.
+func (p *pool) acquire(ctx context.Context, fresh bool, allowed permission) (*conn, error) {
 	for {
+		changed := allowed.nextChange()
+		if err := allowed.withdrawn(); err != nil {
+			return nil, err
+		}
 		p.mu.Lock()
 		if c := p.takeIdle(fresh); c != nil {
 			p.mu.Unlock()
@@ -71,11 +101,27 @@
 		available := make(chan struct{}, 1)
 		p.waiters = append(p.waiters, available)
 		p.mu.Unlock()
+		if err := await(ctx, available, changed, allowed); err != nil {
+			p.removeWaiter(available)
+			return nil, err
+		}
+	}
+}
+
+// await returns once a connection may be available, or with an error if the context is done or the request may no longer be
+// sent.
+func await(ctx context.Context, available, changed <-chan struct{}, allowed permission) error {
+	for {
 		select {
 		case <-available:
+			return nil
+		case <-changed:
+			changed = allowed.nextChange()
+			if err := allowed.withdrawn(); err != nil {
+				return err
+			}
 		case <-ctx.Done():
-			p.removeWaiter(available)
-			return nil, &Error{Op: "acquire connection", Kind: KindConnectionLimit, Err: context.Cause(ctx)}
+			return &Error{Op: "acquire connection", Kind: KindConnectionLimit, Err: context.Cause(ctx)}
 		}
 	}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -26,17 +26,34 @@
 	return to, to.instance != nil && to.server != nil
 }
 
-// maxViewAge is how long a request uses the servers of the view that it began with. Requests must leave a server within 3 s
-// after it is draining or gone.
-const maxViewAge = time.Second
-
-// receiver returns the server with the given name, or false if it is not registered or, for a late attempt, leaving.
+// receiver returns the server with the given name, or false if it is not registered or leaving by now.
 func (s *session) receiver(name broker.ServerName) (receiver, bool) {
-	if time.Since(s.viewedAt) < maxViewAge {
-		return s.forwarder.receiver(s.view, name)
+	view := s.forwarder.registrar.View()
+	to, ok := s.forwarder.receiver(view, name)
+	return to, ok && withheldReason(view, name) == broker.ReasonNone
+}
+
+// withheld reports whether a server gets no new requests by the current view, which is newer than that of the request.
+func (s *session) withheld(name broker.ServerName) bool {
+	return withheldReason(s.forwarder.registrar.View(), name) != broker.ReasonNone
+}
+
+// refusal returns why no request may be sent to a server any more, by the current view and what the server has stated, or
+// ReasonNone if one may.
+func (f *Forwarder) refusal(to receiver) broker.Reason {
+	if reason := withheldReason(f.registrar.View(), to.instance.Name()); reason != broker.ReasonNone {
+		return reason
+	}
+	reason, _ := to.server.Refusal(time.Now())
+	return reason
+}
+
+// withheldReason returns why a view gives a server no new requests, or ReasonNone.
+func withheldReason(view *registrar.View, name broker.ServerName) broker.Reason {
+	if instance := view.Instances[name]; instance == nil || instance.Draining {
+		return broker.ReasonDraining
 	}
-	to, ok := s.forwarder.receiver(s.forwarder.registrar.View(), name)
-	return to, ok && !to.instance.Draining
+	return broker.ReasonNone
 }
 
 // exchangeResult is the result of one exchange with a backend server.
@@ -67,6 +84,9 @@
 		Head:   f.codec.Head(nil, request, to.instance.ID, deadline.Sub(sent)),
 		Body:   request.Body,
 		Reuse:  func(header http.Header) bool { return f.codec.Matches(request, header) },
+		// The request may wait for a connection for seconds, in which the server leaves.
+		Refusal: func() broker.Reason { return f.refusal(to) },
+		Changed: f.registrar.Changed,
 	})
 	now := time.Now()
 	if to.instance.Zone != f.settings.Zone {
@@ -78,7 +98,7 @@
 		if !reply.Sent {
 			result.Outcome = broker.OutcomeNotRun
 		}
-		if ctx.Err() != nil && result.latency < callerGoneGrace {
+		if !reply.Sent && reply.Reason.Withheld() || ctx.Err() != nil && result.latency < callerGoneGrace {
 			to.server.ExchangeDiscarded(sent)
 		} else {
 			to.server.ExchangeEnded(sent, now, true)
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -91,7 +91,7 @@
 	ctx, span := f.tracer.Start(r.Context(), "entry.request", attribute.String("route", entry.Name))
 	defer span.End()
 	session := &session{
-		forwarder: f, view: view, viewedAt: time.Now(), route: entry.Route, kind: kind, request: request,
+		forwarder: f, view: view, route: entry.Route, kind: kind, request: request,
 		started: started, deadline: deadline,
 	}
 	session.answer(ctx, w)
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -50,7 +50,6 @@
 type session struct {
 	forwarder *Forwarder
 	view      *registrar.View
-	viewedAt  time.Time
 	route     *broker.Route
 	kind      string
 	request   *broker.OpaqueRequest
@@ -75,6 +74,7 @@
 	f := s.forwarder
 	strategy := scatterer.NewStrategy(s.route, f.settings.Zone, f.budgets)
 	strategy.DelegatedZones = f.delegates.Zones(s.started)
+	strategy.Withheld = s.withheld
 	var err error
 	s.scatter, err = scatterer.New(scatterer.Dependencies{
 		View: s.view.Tracked, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
