Send later attempts to no zone that is out by then

Cause: a request keeps the view with which it began, and chose later attempts from it; the check against the current view left the zone out. First attempts leave the zone at once, so that the hosts know of the evacuation.

Change: the zone is part of the permission that is asked by the current view when an attempt is chosen and begins, while it waits for a connection, and before its first byte.

Test, on the code before: TestLateAttemptsInZoneOut/retry "requests to the zone that is out: got 7, want 0", /wait_for_a_connection "got 8, want 0".

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -50,10 +50,15 @@
 
 // withheldReason returns why a view gives a server no new requests, or ReasonNone.
 func withheldReason(view *registrar.View, name broker.ServerName) broker.Reason {
-	if instance := view.Instances[name]; instance == nil || instance.Draining {
+	instance, table := view.Instances[name], view.Tracked.Table
+	switch {
+	case instance == nil || instance.Draining:
 		return broker.ReasonDraining
+	case table.ZoneOut(instance.Zone):
+		return broker.ReasonZoneOut
+	default:
+		return broker.ReasonNone
 	}
-	return broker.ReasonNone
 }
 
 // exchangeResult is the result of one exchange with a backend server.
