State the time that is left when a request is sent

Cause: the head, with the time left, was made before the dispatcher waited for a connection. The record shows it: stated time plus arrival is past the caller's end by as long as the request had waited.

Change: ServerRequest.Head is a function, called for each try once a connection is free. A host that is delegated to counts the time left from the first byte of the message and not from its last.

Ruled out: patching the prepared head (the dispatcher would know the platform's header); a shorter wait.

TestSlowDelegation uses a new field. endless_test.go only passes the head as a function.

--- a/internal/broker/delegation.go
+++ b/internal/broker/delegation.go
@@ -18,6 +18,8 @@
 	Body      []byte      `cbor:"6,keyasint,omitempty"`
 	// Remaining is the time until the deadline of the request.
 	Remaining time.Duration `cbor:"7,keyasint"`
+	// ReceivedAt is when the message began to arrive, by the clock of the host that runs it.
+	ReceivedAt time.Time `cbor:"-"`
 	// CollectFor is how long answers are held back so that they are merged into one message.
 	CollectFor time.Duration `cbor:"8,keyasint"`
 	// TopRecords is the maximum number of records of the answer to the scatter.
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -90,8 +90,10 @@
 // ServerRequest is a prepared request to a backend server.
 type ServerRequest struct {
 	Method string
-	Head   []byte // request line and header with the empty line that ends it
-	Body   []byte
+	// Head returns the request line and header with the empty line that ends it. It is called when a connection is free, as a
+	// header that states the time left would be too old by then.
+	Head func() []byte
+	Body []byte
 	// Reuse reports whether the connection may be reused after an answer with this header. A nil Reuse always allows it.
 	Reuse func(header http.Header) bool
 	// Refusal is called immediately before the first byte of the request is sent, and while the request waits for a connection
--- a/internal/broker/transport/dispatcher/endless_test.go
+++ b/internal/broker/transport/dispatcher/endless_test.go
@@ -123,7 +123,7 @@
 			for i := range servers {
 				exchanges.Go(func() {
 					reply := d.Exchange(ctx, broker.ServerName(strconv.Itoa(i)), &broker.ServerRequest{
-						Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"),
+						Method: http.MethodGet, Head: func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") },
 					})
 					if got := reply.Answer != nil; got != tt.wantAnswer || !reply.Sent {
 						t.Errorf("got an answer: %v, sent %v, reason %s, error %v; want %v, true",
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -24,7 +24,8 @@
 type exchange struct {
 	method   string
 	path     string
-	head     []byte // complete head of a prepared request; replaces path and trace
+	makeHead func() []byte // returns the complete head of a prepared request; replaces path and trace
+	head     []byte        // of the last try of a prepared request
 	payload  []byte
 	trace    string            // trace context, or empty
 	allowed  permission        // is asked before the first byte, and while the request waits for a connection
@@ -49,6 +50,9 @@
 // exchangeOn makes the exchange on the given connection, and then releases or discards the connection.
 func (d *Dispatcher) exchangeOn(ctx context.Context, p *pool, c *conn, e *exchange) (*reply, error) {
 	e.reused, e.outages = c.reused, int(p.outages.Load())
+	if e.makeHead != nil {
+		e.head = e.makeHead()
+	}
 	held := &holding{budget: &d.budget}
 	defer held.release()
 	c.startRequest(e.allowed.permit, maxHeaderBytes, held)
--- a/internal/broker/transport/dispatcher/forward.go
+++ b/internal/broker/transport/dispatcher/forward.go
@@ -32,7 +32,7 @@
 	if p == nil {
 		return broker.ServerReply{Reason: broker.ReasonNoReplica}
 	}
-	e := exchange{method: request.Method, head: request.Head, payload: request.Body}
+	e := exchange{method: request.Method, makeHead: request.Head, payload: request.Body}
 	refusal := broker.ReasonNone
 	if request.Refusal != nil {
 		e.allowed = permission{changed: request.Changed, permit: func() bool {
--- a/internal/broker/transport/dispatcher/withheld_test.go
+++ b/internal/broker/transport/dispatcher/withheld_test.go
@@ -32,10 +32,11 @@
 			d := newDispatcher(listenForBytes(t, &received).Addr(), 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			head := []byte("POST /x HTTP/1.1\r\nHost: h\r\n\r\n")
+			text := []byte("POST /x HTTP/1.1\r\nHost: h\r\n\r\n")
+			head := func() []byte { return text }
 			if tt.wait {
 				go d.Exchange(ctx, "a1", &broker.ServerRequest{Method: "POST", Head: head}) // stays without an answer
-				for received.Load() < int64(len(head)) {
+				for received.Load() < int64(len(text)) {
 					time.Sleep(time.Millisecond)
 				}
 				time.AfterFunc(50*time.Millisecond, func() {
--- a/internal/broker/transport/messenger/handler.go
+++ b/internal/broker/transport/messenger/handler.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -37,6 +38,7 @@
 
 // ServeHTTP runs one delegation.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
 	delegation := &broker.Delegation{}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDelegationBytes))
 	if err == nil {
@@ -49,6 +51,7 @@
 		return
 	}
 	h.received.Inc()
+	delegation.ReceivedAt = started
 	header := w.Header()
 	header["Date"], header["Content-Type"] = nil, nil
 	wrote := false
--- a/internal/broker/transport/messenger/messenger_test.go
+++ b/internal/broker/transport/messenger/messenger_test.go
@@ -216,3 +216,33 @@
 		})
 	}
 }
+
+// TestSlowDelegation guards against sub-requests that are given more time than is left, because the body of the delegation took
+// long to arrive.
+func TestSlowDelegation(t *testing.T) {
+	const stated, delay = 2 * time.Second, 300 * time.Millisecond
+	received := make(chan time.Duration, 1)
+	host := runnerHost(t, func(_ context.Context, delegation *broker.Delegation, _ func(*broker.PartResults, bool)) error {
+		received <- time.Until(delegation.ReceivedAt.Add(delegation.Remaining))
+		return nil
+	})
+	body, err := encMode.Marshal(&broker.Delegation{RequestID: "r", Servers: []broker.ServerName{"s"}, Remaining: stated})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write(body[:1])
+		time.Sleep(delay)
+		_, _ = writer.Write(body[1:])
+		_ = writer.Close()
+	}()
+	response, err := http.Post("http://"+host.String()+Path, "application/cbor", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if got, want := <-received, stated-delay; got > want {
+		t.Errorf("time left: got %v, want at most %v", got, want)
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -86,7 +86,7 @@
 	to.server.ExchangeStarted(sent)
 	reply := f.dispatcher.Exchange(ctx, sub.Server, &broker.ServerRequest{
 		Method: request.Method,
-		Head:   f.codec.Head(nil, request, to.instance.ID, deadline.Sub(sent)),
+		Head:   func() []byte { return f.codec.Head(nil, request, to.instance.ID, time.Until(deadline)) },
 		Body:   request.Body,
 		Reuse:  func(header http.Header) bool { return f.codec.Matches(request, header) },
 		// The request may wait for a connection for seconds, in which the server leaves.
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -28,7 +28,7 @@
 	defer span.End()
 	arrivedAt := time.Now()
 	f.work.arrived()
-	deadline := arrivedAt.Add(message.Remaining)
+	deadline := message.ReceivedAt.Add(message.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	request := &broker.OpaqueRequest{
@@ -40,7 +40,7 @@
 		go func() { parts <- f.runPart(ctx, request, view, position, name, deadline) }()
 	}
 	collector := delegator.NewCollector(len(message.Servers), arrivedAt.Add(message.CollectFor))
-	timer := time.NewTimer(message.Remaining)
+	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	collected := collectedParts{limit: message.TopRecords}
 	for !collector.Done() || len(collected.parts) > 0 {
