End an attempt at an answer whose status is none

Cause: http.ReadResponse accepts any three digits; the dispatcher skipped all responses below 200 as informational, and read what follows as the answer. pkg/caller accepted each status below 400 with a body that it could read.

Change: a status below 100, and 101, ends the attempt as malformed: it may have run, is retried if it is idempotent, and counts as no crash. pkg/caller requires 200 or above.

Paths looked at: single, delegated and scattered requests use one reader, status checks of serve, too; probes and the directory's callers require 200; relays, delegations and both clients of stores treat other statuses as errors. Four digits, signs and other characters fail when the head is read.

--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -11,8 +11,9 @@
 )
 
 var (
-	errNotPermitted = errors.New("request not permitted")
-	errTooLarge     = errors.New("answer exceeds the size limit")
+	errNotPermitted  = errors.New("request not permitted")
+	errInvalidStatus = errors.New("no valid HTTP status")
+	errTooLarge      = errors.New("answer exceeds the size limit")
 )
 
 const (
--- a/internal/broker/transport/dispatcher/exchange.go
+++ b/internal/broker/transport/dispatcher/exchange.go
@@ -216,7 +216,8 @@
 	return nil
 }
 
-// readResponse reads the header of the final response and skips informational (1xx) responses.
+// readResponse reads the header of the final response and skips informational (1xx) responses. A status below these is none,
+// and 101 answers a request for another protocol, which is never made: neither is followed by another response.
 func readResponse(c *conn, method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for {
@@ -228,6 +229,9 @@
 			return response, nil
 		}
 		_ = response.Body.Close()
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Wrapf(errInvalidStatus, "status %03d", response.StatusCode)
+		}
 	}
 }
 
@@ -240,6 +244,8 @@
 	switch {
 	case errors.Is(err, errNotPermitted):
 		return &Error{Op: op, Kind: KindWithheld, Err: err}
+	case errors.Is(err, errInvalidStatus):
+		return &Error{Op: op, Kind: KindMalformed, Err: err}
 	case errors.Is(err, errTooLarge):
 		return &Error{Op: op, Kind: KindTooLarge, Err: err}
 	case interrupted || ctx.Err() != nil:
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -236,6 +236,14 @@
 	unknown := respond(504, StatusOutcomeUnknown, "silent")
 	duplicate := respond(504, StatusOutcomeUnknown, reasonDuplicate)
 	wrongID := func(w http.ResponseWriter, r *http.Request, _ string) { respondComplete(w, r, "another") }
+	noStatus := func(w http.ResponseWriter, r *http.Request, id string) {
+		recorded := httptest.NewRecorder()
+		respondComplete(recorded, r, id)
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			fmt.Fprintf(c, "HTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s", recorded.Body.Len(), recorded.Body)
+			_ = c.Close()
+		}
+	}
 	invalid := func(w http.ResponseWriter, _ *http.Request, _ string) {
 		w.WriteHeader(http.StatusBadRequest)
 		fmt.Fprint(w, `{"error":{"kind":"invalid","message":"unknown kind"}}`)
@@ -262,6 +270,7 @@
 		{"connection lost, then quarantined", []handler{dropConnection, respond(503, StatusNotRun, reasonQuarantined)},
 			StatusOutcomeUnknown, "", 2},
 		{"malformed", []handler{invalid}, "", KindInvalid, 1},
+		{"answer without a status", []handler{noStatus, respondComplete}, StatusComplete, "", 2},
 		{"answer to another request", []handler{wrongID, respondComplete}, StatusComplete, "", 2},
 	}
 	for _, test := range tests {
--- a/pkg/caller/run.go
+++ b/pkg/caller/run.go
@@ -220,6 +220,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "could not read answer")
 	}
+	if resp.StatusCode < http.StatusOK {
+		return nil, errors.Errorf("no valid HTTP status: %q", resp.Status)
+	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
 		var refusal struct {
 			Error struct {
