Order what hosts know by the era of the store

Cause: revisions decided which of two states is newer, and are given out again after the return.

Change: broker.Position orders by era and then revision; the era comes from the header Store-Era and passes from relay to host. A rise in any answer has all collections listed. A listing of a later era replaces the copy, one of an earlier never does; an answer of another era to a watch or poll has the collection listed, and does not count as fresh. What the copy lacks or still has is held for 2.2 s: servers, drained and gone servers, zones to leave; hosts for 10 s. Hosts write their records and the list of servers again. A store without the header works as before; one that can't be read counts as missing and is logged once.

Ruled out: a reset when the revision falls (it need not fall); followers that start anew (the state of before tells a decision from the copy's age).

The fakes of follower and relayer only take positions.

--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -67,6 +67,10 @@
 	// Failed whether a collection of the store could not be read since then.
 	Gap    time.Duration
 	Failed bool
+	// Returned reports whether the store has come back from an older copy since the previous state, so that entries may be
+	// missing or older for the age of the copy, and Previous is the position of that state.
+	Returned bool
+	Previous broker.Position
 	// Removed are the names of the items that the previous state had and this one does not.
 	Removed []string
 }
@@ -80,12 +84,12 @@
 	logger  *slog.Logger
 
 	items    map[string]broker.Item[T]
-	revision uint64
+	position broker.Position
 	loaded   bool // an update has been applied
 	failing  bool // the last call failed
 
-	current atomic.Uint64 // copy of revision for concurrent readers
-	knownAt atomic.Int64  // nanoseconds from epoch to the time up to which items have every change
+	current atomic.Pointer[broker.Position] // copy of position for concurrent readers
+	knownAt atomic.Int64                    // nanoseconds from epoch to the time up to which items have every change
 	epoch   time.Time
 	refresh chan struct{} // requests a listing
 
@@ -104,6 +108,7 @@
 		refresh: make(chan struct{}, 1), epoch: time.Now(),
 		calls: counter("calls"), polls: counter("glances"), failures: counter("failures"), updates: counter("updates"),
 	}
+	f.current.Store(&broker.Position{})
 	set.NewGauge(fmt.Sprintf("yuccarock_collection_age_seconds{collection=%q}", name), func() float64 {
 		return time.Since(f.Known().At).Seconds()
 	})
@@ -120,7 +125,7 @@
 
 // Known returns up to which point the copy has every change. Its time is that of New before the first update.
 func (f *Follower[T]) Known() broker.Knowledge {
-	return broker.Knowledge{Revision: f.current.Load(), At: f.epoch.Add(time.Duration(f.knownAt.Load()))}
+	return broker.Knowledge{Position: *f.current.Load(), At: f.epoch.Add(time.Duration(f.knownAt.Load()))}
 }
 
 // renew records that the copy has every change up to a time, unless that is known already.
@@ -163,7 +168,7 @@
 			f.reportHistoryGone()
 		}
 		if errors.Is(err, broker.ErrRelist) {
-			f.logger.Info("listing the collection again", "at", f.revision, "knownFor", time.Since(f.Known().At), "reason", err)
+			f.logger.Info("listing the collection again", "at", f.position, "knownFor", time.Since(f.Known().At), "reason", err)
 			listed, err = false, nil
 		}
 		wait := f.options.Pause - time.Since(started)
@@ -192,6 +197,10 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
+		select {
+		case <-f.refresh: // this listing is what was requested
+		default:
+		}
 		items, known, err := f.source.List(callCtx, f.accepts)
 		if err != nil {
 			return err
@@ -217,7 +226,7 @@
 		case <-callCtx.Done():
 		}
 	}()
-	changes, known, err := f.source.Watch(callCtx, f.revision, wait)
+	changes, known, err := f.source.Watch(callCtx, f.position, wait)
 	cancel()
 	<-ended
 	if refreshed {
@@ -227,13 +236,16 @@
 	if err != nil {
 		return err
 	}
+	if known.Era != f.position.Era {
+		return errors.Join(broker.ErrRelist, fmt.Errorf("the changes are of era %d", known.Era))
+	}
 	f.applyChanges(changes, known)
 	return nil
 }
 
 // reportHistoryGone logs that the store has dropped its history and informs the other followers.
 func (f *Follower[T]) reportHistoryGone() {
-	f.logger.Info("history of the collection is gone; listing it again", "at", f.current.Load())
+	f.logger.Info("history of the collection is gone; listing it again", "at", *f.current.Load())
 	if f.options.HistoryGone != nil {
 		f.options.HistoryGone()
 	}
@@ -244,8 +256,8 @@
 func (f *Follower[T]) poll(ctx context.Context) {
 	wait := f.options.PollWait
 	for ctx.Err() == nil {
-		revision := f.current.Load()
-		if revision == 0 {
+		position := *f.current.Load()
+		if position.Revision == 0 {
 			waiter.Wait(ctx, minBackoff)
 			continue
 		}
@@ -256,7 +268,7 @@
 			slack = watchSlack
 		}
 		callCtx, cancel := context.WithTimeout(ctx, wait+slack)
-		changed, at, err := f.source.Poll(callCtx, revision, wait)
+		changed, at, err := f.source.Poll(callCtx, position, wait)
 		cancel()
 		wait = f.options.PollWait
 		switch {
@@ -271,11 +283,11 @@
 			f.renew(at)
 		default:
 			// The watch normally reports the change at the same time.
-			for end := time.Now().Add(f.options.Pause + watchGrace); f.current.Load() == revision && time.Now().Before(end); {
+			for end := time.Now().Add(f.options.Pause + watchGrace); *f.current.Load() == position && time.Now().Before(end); {
 				waiter.Wait(ctx, watchCheckInterval)
 			}
-			if f.current.Load() == revision && ctx.Err() == nil {
-				f.logger.Info("the watch missed a change; listing the collection again", "at", revision)
+			if *f.current.Load() == position && ctx.Err() == nil {
+				f.logger.Info("the watch missed a change; listing the collection again", "at", position)
 				f.Refresh()
 				waiter.Wait(ctx, f.options.PollWait)
 			}
@@ -285,14 +297,14 @@
 }
 
 // accepts reports whether a listing from another host can replace the current state: whether it is not older. At a lower
-// revision it has to hold the same items, because the store counts the changes of all collections: the other host may
+// revision of the same era it has to hold the same items, because the store counts the changes of all collections: the other host may
 // have missed nothing.
 func (f *Follower[T]) accepts(items []broker.Item[T], known broker.Knowledge) bool {
-	if !f.loaded || known.Revision >= f.revision || f.holds(items) {
+	if !f.loaded || !known.Before(f.position) || known.Era == f.position.Era && f.holds(items) {
 		return true
 	}
-	f.logger.Warn("refused a listing of another host that is older than the current state", "at", known.Revision,
-		"known", f.revision, "age", time.Since(known.At))
+	f.logger.Warn("refused a listing of another host that is older than the current state", "at", known.Position,
+		"known", f.position, "age", time.Since(known.At))
 	return false
 }
 
@@ -306,19 +318,20 @@
 	return len(items) == len(f.items)
 }
 
-// applyListing applies a listing unless it is older than the current state.
+// applyListing applies a listing unless it is older than the current state. That of a later era replaces the state,
+// whatever its revisions.
 func (f *Follower[T]) applyListing(items []broker.Item[T], known broker.Knowledge) {
-	if f.loaded && known.Revision < f.revision {
-		if f.holds(items) {
+	if f.loaded && known.Before(f.position) {
+		if known.Era == f.position.Era && f.holds(items) {
 			f.renew(known.At)
 		} else {
-			f.logger.Warn("ignored a listing older than the current state", "at", known.Revision, "known", f.revision)
+			f.logger.Warn("ignored a listing older than the current state", "at", known.Position, "known", f.position)
 		}
 		return
 	}
 	next := make(map[string]broker.Item[T], len(items))
 	for _, item := range items {
-		if previous, ok := f.items[item.Name]; ok && previous.Revision > item.Revision {
+		if previous, ok := f.items[item.Name]; ok && known.Era == f.position.Era && previous.Revision > item.Revision {
 			item = previous
 		}
 		next[item.Name] = item
@@ -332,12 +345,12 @@
 	f.publish(next, known, true, removed)
 }
 
-// applyChanges applies the changes of a watch, except those older than the current revision of their item.
+// applyChanges applies the changes of a watch, except those older than the current revision of their item. They are of the
+// era of the current state.
 func (f *Follower[T]) applyChanges(changes []broker.Change[T], known broker.Knowledge) {
-	known.Revision = max(f.revision, known.Revision)
+	known.Revision = max(f.position.Revision, known.Revision)
 	if len(changes) == 0 {
-		f.revision = known.Revision
-		f.current.Store(f.revision)
+		f.setPosition(known.Position)
 		f.renew(known.At)
 		return
 	}
@@ -371,24 +384,33 @@
 		previous := f.Known().At
 		gap, failed = max(known.At.Sub(previous), 0), f.options.Gate.failedSince(previous)
 	}
-	f.items, f.revision, f.loaded = items, known.Revision, true
+	previous, returned := f.position, f.loaded && known.Era > f.position.Era
+	f.items, f.loaded = items, true
 	f.updates.Inc()
-	f.apply(Update[T]{Items: items, Known: known, Listed: listed, Gap: gap, Failed: failed, Removed: removed})
-	f.current.Store(known.Revision) // after apply, so that a concurrent poll does not renew the previous state with it
+	f.apply(Update[T]{
+		Items: items, Known: known, Listed: listed, Gap: gap, Failed: failed, Returned: returned, Previous: previous,
+		Removed: removed,
+	})
+	f.setPosition(known.Position) // after apply, so that a concurrent poll does not renew the previous state with it
 	f.renew(known.At)
 }
 
+func (f *Follower[T]) setPosition(position broker.Position) {
+	f.position = position
+	f.current.Store(&position)
+}
+
 func (f *Follower[T]) recordFailure(err error) {
 	f.failures.Inc()
 	if !f.failing {
 		f.failing = true
-		f.logger.Warn("lost the store", "at", f.revision, "error", err)
+		f.logger.Warn("lost the store", "at", f.position.Revision, "error", err)
 	}
 }
 
 func (f *Follower[T]) recordSuccess() {
 	if f.failing {
 		f.failing = false
-		f.logger.Info("regained the store", "at", f.revision)
+		f.logger.Info("regained the store", "at", f.position.Revision)
 	}
 }
--- a/internal/broker/coordination/follower/follower_test.go
+++ b/internal/broker/coordination/follower/follower_test.go
@@ -66,11 +66,11 @@
 	for name, value := range s.items {
 		items = append(items, broker.Item[uint64]{Name: name, Revision: value, Value: value})
 	}
-	return items, broker.Knowledge{Revision: s.revision, At: time.Now()}, s.err
+	return items, broker.Knowledge{Position: broker.Position{Revision: s.revision}, At: time.Now()}, s.err
 }
 
 func (s *fakeSource) Watch(
-	ctx context.Context, after uint64, wait time.Duration,
+	ctx context.Context, after broker.Position, wait time.Duration,
 ) ([]broker.Change[uint64], broker.Knowledge, error) {
 	s.mu.Lock()
 	s.watches++
@@ -81,7 +81,7 @@
 		s.mu.Lock()
 		var found []broker.Change[uint64]
 		for _, change := range s.changes {
-			if change.Revision > after && !silent {
+			if change.Revision > after.Revision && !silent {
 				found = append(found, change)
 			}
 		}
@@ -91,21 +91,21 @@
 			return nil, broker.Knowledge{}, err
 		}
 		if len(found) > 0 {
-			return found, broker.Knowledge{Revision: revision, At: time.Now()}, nil
+			return found, broker.Knowledge{Position: broker.Position{Revision: revision}, At: time.Now()}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, broker.Knowledge{Revision: after, At: time.Now()}, nil
+			return nil, broker.Knowledge{Position: after, At: time.Now()}, nil
 		case <-ctx.Done():
 			return nil, broker.Knowledge{}, ctx.Err()
 		}
 	}
 }
 
-func (s *fakeSource) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
+func (s *fakeSource) Poll(ctx context.Context, after broker.Position, wait time.Duration) (bool, time.Time, error) {
 	s.mu.Lock()
-	err, changed := s.err, s.revision > after
+	err, changed := s.err, s.revision > after.Revision
 	s.mu.Unlock()
 	if err != nil || changed {
 		return changed, time.Now(), err
@@ -188,7 +188,9 @@
 	item := func(revision uint64) broker.Item[uint64] {
 		return broker.Item[uint64]{Name: "a", Revision: revision, Value: revision}
 	}
-	at := func(revision uint64) broker.Knowledge { return broker.Knowledge{Revision: revision} }
+	at := func(revision uint64) broker.Knowledge {
+		return broker.Knowledge{Position: broker.Position{Revision: revision}}
+	}
 	f.applyListing([]broker.Item[uint64]{item(5)}, at(5))
 	f.applyListing([]broker.Item[uint64]{item(3)}, at(4))
 	f.applyChanges([]broker.Change[uint64]{{Item: item(4)}}, at(6))
@@ -248,7 +250,7 @@
 	polls int
 }
 
-func (s *droppingSource) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
+func (s *droppingSource) Poll(ctx context.Context, after broker.Position, wait time.Duration) (bool, time.Time, error) {
 	s.mu.Lock()
 	s.polls++
 	first := s.polls == 1
--- a/internal/broker/coordination/relayer/feed.go
+++ b/internal/broker/coordination/relayer/feed.go
@@ -41,6 +41,7 @@
 
 // reply is a feed's answer; Items is set if Full is set, and Changes otherwise.
 type reply[T any] struct {
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"at"`
 	// KnownFor is the time up to which the relay's copy has every change, relative to the arrival of the request. It is
 	// negative if that was before. The clocks of the two hosts need not agree.
@@ -75,18 +76,25 @@
 func (f *Feed[T]) Publish(update follower.Update[T]) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.items != nil {
+	switch {
+	case update.Known.Era != f.known.Era:
+		// Hosts that know a state of another era list the collection.
+		f.dropLog()
+		f.known = update.Known
+	case f.items != nil:
 		f.logChanges(update)
 	}
 	f.items = update.Items
 	f.renew(update.Known)
 }
 
-// Renew records up to which point the published state has every change.
+// Renew records up to which point the published state has every change. A state of another era is not renewed.
 func (f *Feed[T]) Renew(known broker.Knowledge) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.renew(known)
+	if known.Era == f.known.Era {
+		f.renew(known)
+	}
 }
 
 // renew advances what is known and wakes the requests that wait; the caller holds mu.
@@ -122,11 +130,16 @@
 		}
 	}
 	if len(f.log) > maxLogChanges {
-		f.dropped += uint64(len(f.log))
-		f.log = nil
+		f.dropLog()
 	}
 }
 
+// dropLog drops all changes, and one that no host has seen, so that all hosts list the collection.
+func (f *Feed[T]) dropLog() {
+	f.dropped += uint64(len(f.log)) + 1
+	f.log = nil
+}
+
 // ServeHTTP answers with the changes since the position in the query, or with all items if the log no longer has them.
 // Without changes it waits for one up to the time in the query, or until this host knows the collection up to a later time
 // than the client, whose age is in the query. A request with the parameter old is answered even if what this host knows
@@ -218,7 +231,7 @@
 		return feedState[T]{}, false
 	}
 	end := f.dropped + uint64(len(f.log))
-	answer := reply[T]{Revision: f.known.Revision, Position: f.process + "." + strconv.FormatUint(end, 10)}
+	answer := reply[T]{Era: f.known.Era, Revision: f.known.Revision, Position: f.process + "." + strconv.FormatUint(end, 10)}
 	process, number, _ := strings.Cut(position, ".")
 	offset, err := strconv.ParseUint(number, 10, 64)
 	if err != nil || process != f.process || offset < f.dropped || offset > end {
--- a/internal/broker/coordination/relayer/outage_test.go
+++ b/internal/broker/coordination/relayer/outage_test.go
@@ -148,11 +148,11 @@
 	}
 	r.publish(11, map[string]uint64{"a": 5, "removed": 11})
 	relays.fail(r.address, time.Now(), failureRefused)
-	if _, _, err := source.Watch(t.Context(), 10, time.Second); err != nil { // the store has removed it again by now
+	if _, _, err := source.Watch(t.Context(), broker.Position{Revision: 10}, time.Second); err != nil { // the store has removed it again by now
 		t.Fatal(err)
 	}
 	relays.fail(r.address, time.Now().Add(-2*retryDelay), failureRefused) // the relay may be used again
-	if changes, _, err := source.Watch(t.Context(), 100, time.Second); !errors.Is(err, broker.ErrRelist) {
+	if changes, _, err := source.Watch(t.Context(), broker.Position{Revision: 100}, time.Second); !errors.Is(err, broker.ErrRelist) {
 		t.Errorf("Watch() after the return: got %v, %v; want ErrRelist", changes, err)
 	}
 }
--- a/internal/broker/coordination/relayer/relayer_test.go
+++ b/internal/broker/coordination/relayer/relayer_test.go
@@ -34,19 +34,19 @@
 }
 
 func (s *storeSource) Watch(
-	context.Context, uint64, time.Duration,
+	context.Context, broker.Position, time.Duration,
 ) ([]broker.Change[string], broker.Knowledge, error) {
 	s.calls.Add(1)
 	return nil, knownNow(100), s.err
 }
 
-func (s *storeSource) Poll(context.Context, uint64, time.Duration) (bool, time.Time, error) {
+func (s *storeSource) Poll(context.Context, broker.Position, time.Duration) (bool, time.Time, error) {
 	s.calls.Add(1)
 	return false, time.Now(), s.err
 }
 
 func knownNow(revision uint64) broker.Knowledge {
-	return broker.Knowledge{Revision: revision, At: time.Now()}
+	return broker.Knowledge{Position: broker.Position{Revision: revision}, At: time.Now()}
 }
 
 // acceptAll accepts every listing, as a follower does before its first one.
@@ -104,11 +104,11 @@
 		time.Sleep(20 * time.Millisecond)
 		r.publish(10, map[string]uint64{"b": 7})
 	}()
-	changes, _, err := source.Watch(t.Context(), at.Revision, time.Second)
+	changes, _, err := source.Watch(t.Context(), at.Position, time.Second)
 	if err != nil || len(changes) != 2 {
 		t.Fatalf("Watch(): got %v, %v; want b added and a deleted", changes, err)
 	}
-	if changes, _, err = source.Watch(t.Context(), at.Revision, 10*time.Millisecond); err != nil || len(changes) != 0 {
+	if changes, _, err = source.Watch(t.Context(), at.Position, 10*time.Millisecond); err != nil || len(changes) != 0 {
 		t.Errorf("Watch() without changes: got %v, %v; want none", changes, err)
 	}
 	if got := store.calls.Load(); got != 0 {
@@ -143,17 +143,17 @@
 				t.Fatal(err)
 			}
 			tt.fail(first)
-			if _, _, err := source.Watch(t.Context(), 10, time.Second); err == nil {
+			if _, _, err := source.Watch(t.Context(), broker.Position{Revision: 10}, time.Second); err == nil {
 				t.Error("Watch() at a failed relay: got no error")
 			}
-			if _, _, err := source.Watch(t.Context(), 10, time.Second); !errors.Is(err, broker.ErrRelist) {
+			if _, _, err := source.Watch(t.Context(), broker.Position{Revision: 10}, time.Second); !errors.Is(err, broker.ErrRelist) {
 				t.Errorf("Watch() at the next relay: got %v, want ErrRelist", err)
 			}
 			if _, at, err := source.List(t.Context(), acceptAll); err != nil || at.Revision != 11 {
 				t.Errorf("List() at the next relay: got %d, %v; want 11", at.Revision, err)
 			}
 			tt.fail(second)
-			_, _, _ = source.Watch(t.Context(), 11, time.Second)
+			_, _, _ = source.Watch(t.Context(), broker.Position{Revision: 11}, time.Second)
 			if _, at, err := source.List(t.Context(), acceptAll); err != nil || at.Revision != 100 || !relays.Direct() {
 				t.Errorf("List() without a relay: got %d, %v; want 100 from the store", at.Revision, err)
 			}
@@ -229,7 +229,7 @@
 	for i := range uint64(maxLogChanges + 2) {
 		r.publish(i+2, map[string]uint64{"a": i + 2})
 	}
-	if _, _, err := source.Watch(t.Context(), 1, time.Second); !errors.Is(err, broker.ErrRelist) {
+	if _, _, err := source.Watch(t.Context(), broker.Position{Revision: 1}, time.Second); !errors.Is(err, broker.ErrRelist) {
 		t.Errorf("Watch() behind the log: got %v, want ErrRelist", err)
 	}
 }
@@ -242,7 +242,7 @@
 }
 
 func (s *waitingSource) Watch(
-	context.Context, uint64, time.Duration,
+	context.Context, broker.Position, time.Duration,
 ) ([]broker.Change[string], broker.Knowledge, error) {
 	<-s.release
 	return nil, knownNow(100), nil
@@ -259,13 +259,13 @@
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
-		_, _, _ = source.Watch(t.Context(), 1, time.Minute)
+		_, _, _ = source.Watch(t.Context(), broker.Position{Revision: 1}, time.Minute)
 	}()
 	for !source.watchesStore.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	relays.fail(r.address, time.Now().Add(-2*retryDelay), failureRefused) // the relay may be used again
-	if _, _, err := source.Poll(t.Context(), 1, time.Millisecond); err != nil {
+	if _, _, err := source.Poll(t.Context(), broker.Position{Revision: 1}, time.Millisecond); err != nil {
 		t.Fatal(err)
 	}
 	if got := store.calls.Load(); got != 1 {
@@ -273,7 +273,7 @@
 	}
 	close(store.release)
 	<-watched
-	_, _, _ = source.Poll(t.Context(), 1, time.Millisecond)
+	_, _, _ = source.Poll(t.Context(), broker.Position{Revision: 1}, time.Millisecond)
 	if got := store.calls.Load(); got != 1 {
 		t.Errorf("polls of the store after the watch: got %d, want still 1", got)
 	}
@@ -303,7 +303,7 @@
 			source := NewSource("test", &storeSource{}, relays)
 			r.feed.Publish(follower.Update[string]{
 				Items: map[string]broker.Item[string]{"a": {Name: "a", Revision: 5}},
-				Known: broker.Knowledge{Revision: 5, At: time.Now().Add(-tt.age)},
+				Known: broker.Knowledge{Position: broker.Position{Revision: 5}, At: time.Now().Add(-tt.age)},
 			})
 			_, listed, err := source.List(t.Context(), acceptAll)
 			if err != nil {
@@ -320,7 +320,7 @@
 			}
 			var known broker.Knowledge
 			for err == nil && time.Since(known.At) > maxAge/2 { // until an error or a renewal
-				_, known, err = source.Watch(t.Context(), listed.Revision, 15*time.Second)
+				_, known, err = source.Watch(t.Context(), listed.Position, 15*time.Second)
 				if age := time.Since(listed.At); age > limit {
 					t.Fatalf("age of the listing when the question ended: got %s, want at most %s", age, limit)
 				}
--- a/internal/broker/coordination/relayer/source.go
+++ b/internal/broker/coordination/relayer/source.go
@@ -117,7 +117,7 @@
 
 // watchStore watches the collection at the store, and not for long if this host has relays to return to.
 func (s *Source[T]) watchStore(
-	ctx context.Context, after uint64, wait time.Duration,
+	ctx context.Context, after broker.Position, wait time.Duration,
 ) ([]broker.Change[T], broker.Knowledge, error) {
 	if !s.relays.mayCallStore(time.Now()) {
 		return nil, broker.Knowledge{}, s.storeAwayError("watch")
@@ -205,9 +205,9 @@
 	return reply[T]{}, broker.Knowledge{}, false
 }
 
-// Watch returns the changes after a revision, or an error with ErrRelist after a change of relays.
+// Watch returns the changes after a position, or an error with ErrRelist after a change of relays.
 func (s *Source[T]) Watch(
-	ctx context.Context, after uint64, wait time.Duration,
+	ctx context.Context, after broker.Position, wait time.Duration,
 ) ([]broker.Change[T], broker.Knowledge, error) {
 	s.mu.Lock()
 	lastRelay, position, knownAt := s.lastRelay, s.position, s.knownAt
@@ -226,7 +226,7 @@
 		if s.relays.Direct() {
 			if time.Since(knownAt) < reconnectAge && s.relays.retryRestarting() {
 				waiter.Wait(ctx, reconnectInterval)
-				return nil, broker.Knowledge{Revision: after, At: knownAt}, nil
+				return nil, broker.Knowledge{Position: after, At: knownAt}, nil
 			}
 			return nil, broker.Knowledge{}, err
 		}
@@ -244,7 +244,7 @@
 }
 
 // Poll polls the store while this host follows it. Otherwise it only waits, because the relay polls the store itself.
-func (s *Source[T]) Poll(ctx context.Context, after uint64, wait time.Duration) (bool, time.Time, error) {
+func (s *Source[T]) Poll(ctx context.Context, after broker.Position, wait time.Duration) (bool, time.Time, error) {
 	if s.relays.Direct() || s.watchesStore.Load() {
 		return s.direct.Poll(ctx, after, wait)
 	}
@@ -300,5 +300,7 @@
 	if err := s.relays.Get(ctx, relay, Path(s.name)+"?"+query, &answer); err != nil {
 		return answer, broker.Knowledge{}, err
 	}
-	return answer, broker.Knowledge{Revision: answer.Revision, At: sent.Add(answer.KnownFor)}, nil
+	return answer, broker.Knowledge{
+		Position: broker.Position{Era: answer.Era, Revision: answer.Revision}, At: sent.Add(answer.KnownFor),
+	}, nil
 }
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -12,10 +12,10 @@
 var ErrHistoryGone = errors.New("history of the collection is gone")
 
 // ErrRelist is wrapped by errors of Source.Watch if the collection has to be listed again because it is now read from
-// another host or from the store.
+// another host or from the store, or because the store has come back from an older copy.
 var ErrRelist = errors.New("collection has to be listed again")
 
-// Item is a decoded object of a collection.
+// Item is a decoded object of a collection. Its revision is of the era of the copy that holds it.
 type Item[T any] struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
@@ -30,8 +30,8 @@
 
 // Knowledge states up to which point a copy of a collection has every change. It passes from host to host with the copy.
 type Knowledge struct {
-	// Revision is the store revision up to which the copy has every change.
-	Revision uint64
+	// Position is the point in the store's history up to which the copy has every change.
+	Position
 	// At is the time up to which the copy has every change, at the earliest, on the monotonic clock of this process.
 	At time.Time
 }
@@ -43,12 +43,12 @@
 type Source[T any] interface {
 	// List returns all items. It skips copies that are not the store's own and that accept refuses.
 	List(ctx context.Context, accept Accept[T]) (items []Item[T], known Knowledge, err error)
-	// Watch returns the changes after a revision as soon as there are any, or no changes after wait or once the source
-	// has confirmed that there are none.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change[T], known Knowledge, err error)
+	// Watch returns the changes after a position as soon as there are any, or no changes after wait or once the source
+	// has confirmed that there are none. It fails with ErrRelist if the store is in another era.
+	Watch(ctx context.Context, after Position, wait time.Duration) (changes []Change[T], known Knowledge, err error)
 	// Poll is an inexpensive watch on data that may be seconds out of date; it only reports whether there were
-	// changes. Like Watch, it fails with ErrHistoryGone. At is the zero time if the source was not asked.
-	Poll(ctx context.Context, after uint64, wait time.Duration) (changed bool, at time.Time, err error)
+	// changes. Like Watch, it fails with ErrHistoryGone or ErrRelist. At is the zero time if the source was not asked.
+	Poll(ctx context.Context, after Position, wait time.Duration) (changed bool, at time.Time, err error)
 }
 
 // Collection is a source whose objects are written by the hosts.
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// departureMemory is how long a server that was removed is remembered: longer than the age of a copy of the store and the
+	// time for which the store is away before it comes back from it.
+	departureMemory = time.Minute
 	// expiryGrace is how long a server stays usable after its entry was missing from a full list. Entries expire while the
 	// store is unavailable; those of running servers are back within about 2 s of its return.
 	expiryGrace = 2200 * time.Millisecond
@@ -78,11 +81,14 @@
 	zone         string   // availability zone of this host
 	zones        []string // all availability zones in the settings
 	catalog      *broker.Catalog
-	servers      map[string]serverEntry // by ID
-	missingUntil map[string]time.Time   // end of the grace by ID, for entries that may have expired
-	missing      map[string]serverEntry // last known entries of these IDs
-	restored     []string               // IDs of the servers that were registered earlier, until the next full list
+	servers      map[string]serverEntry          // by ID
+	missingUntil map[string]time.Time            // end of the grace by ID, for entries that may have expired
+	missing      map[string]serverEntry          // last known entries of these IDs
+	departed     map[broker.ServerName]time.Time // when processes were removed or began to drain, for departureMemory
+	heldUntil    map[broker.ServerName]time.Time // end of the time for which processes count as draining
+	restored     []string                        // IDs of the servers that were registered earlier, until the next full list
 	zonesToLeave map[string]bool
+	zonesHeld    map[string]time.Time // end of the time for which zones are left that the older copy of the store lacks
 	hostCount    int
 	role         Role
 	revision     broker.Revision
@@ -94,7 +100,8 @@
 	r := &Registrar{
 		tracker: track, sink: sink, view: holder.New[View](nil), zone: zone, zones: zones,
 		servers: map[string]serverEntry{}, missingUntil: map[string]time.Time{}, missing: map[string]serverEntry{},
-		zonesToLeave: map[string]bool{},
+		zonesToLeave: map[string]bool{}, zonesHeld: map[string]time.Time{},
+		departed: map[broker.ServerName]time.Time{}, heldUntil: map[broker.ServerName]time.Time{},
 	}
 	changed := make(chan struct{})
 	r.changed.Store(&changed)
@@ -130,6 +137,9 @@
 	// FromListingAfterOutage is the origin of a full list after a time in which the store may have been unavailable, so that
 	// missing entries may have expired. Their servers stay usable for a grace.
 	FromListingAfterOutage
+	// FromOlderCopy is the origin of the first full list after the store came back from an older copy. Missing servers stay
+	// usable for a grace, and those that had left or begun to drain stay so, until servers have written their entries again.
+	FromOlderCopy
 )
 
 // SetServers replaces the registered servers by ID.
@@ -143,22 +153,60 @@
 			entry = serverEntry{Registration: server, coldUntil: now.Add(server.WarmupLeft)}
 		}
 		next[id] = entry
-		delete(r.missingUntil, id)
-		delete(r.missing, id)
+		if !server.StartedAt.Before(r.missing[id].StartedAt) { // else the entry is that of an earlier process
+			delete(r.missingUntil, id)
+			delete(r.missing, id)
+		}
 	}
 	for id, entry := range r.servers {
-		if _, ok := next[id]; !ok && origin == FromListingAfterOutage && !entry.Draining {
+		current, ok := next[id]
+		if missing := !ok || current.StartedAt.Before(entry.StartedAt); missing && origin >= FromListingAfterOutage && !entry.Draining {
 			r.missingUntil[id], r.missing[id] = now.Add(expiryGrace), entry
 		}
 	}
+	r.recordDepartures(next, origin, now)
+	if origin == FromOlderCopy {
+		r.holdDeparted(next, now)
+	}
 	r.servers = next
-	if origin != FromChanges {
+	if origin != FromChanges && origin != FromOlderCopy {
 		r.dropDeparted()
 	}
 	r.dropExpired(now)
 	r.rebuild()
 }
 
+// recordDepartures remembers the processes that are draining, were replaced, or were removed, and forgets those that are
+// registered again.
+func (r *Registrar) recordDepartures(next map[string]serverEntry, origin Origin, now time.Time) {
+	maps.DeleteFunc(r.departed, func(_ broker.ServerName, at time.Time) bool { return now.Sub(at) > departureMemory })
+	for id, entry := range r.servers {
+		current, ok := next[id]
+		removed := !ok && origin < FromListingAfterOutage
+		replaced := ok && current.StartedAt.After(entry.StartedAt)
+		if entry.Draining || removed || replaced {
+			r.departed[entry.Name()] = now
+		}
+	}
+	if origin == FromOlderCopy {
+		return
+	}
+	for _, entry := range next {
+		if !entry.Draining {
+			delete(r.departed, entry.Name())
+		}
+	}
+}
+
+// holdDeparted withholds requests from servers that an older copy of the store has as they were before they left.
+func (r *Registrar) holdDeparted(next map[string]serverEntry, now time.Time) {
+	for _, entry := range next {
+		if _, ok := r.departed[entry.Name()]; ok && !entry.Draining {
+			r.heldUntil[entry.Name()] = now.Add(expiryGrace)
+		}
+	}
+}
+
 // dropDeparted drops restored servers that are not registered if nearly all others are: entries that expired during an
 // outage of the store are missing together, and a single one was removed because its server has left.
 func (r *Registrar) dropDeparted() {
@@ -215,19 +263,45 @@
 		r.rebuild()
 	}
 	var next time.Time
-	for _, until := range r.missingUntil {
+	soonest := func(until time.Time) {
 		if next.IsZero() || until.Before(next) {
 			next = until
 		}
 	}
+	for _, until := range r.missingUntil {
+		soonest(until)
+	}
+	for _, until := range r.heldUntil {
+		soonest(until)
+	}
+	for _, until := range r.zonesHeld {
+		soonest(until)
+	}
 	return next
 }
 
 func (r *Registrar) dropExpired(now time.Time) bool {
-	before := len(r.missingUntil)
+	count := func() int { return len(r.missingUntil) + len(r.heldUntil) + len(r.zonesHeld) }
+	before := count()
 	maps.DeleteFunc(r.missingUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(r.missing, func(id string, _ serverEntry) bool { return r.missingUntil[id].IsZero() })
-	return len(r.missingUntil) != before
+	maps.DeleteFunc(r.heldUntil, func(_ broker.ServerName, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(r.zonesHeld, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return count() != before
+}
+
+// HoldZonesToLeave keeps the zones to leave for a grace, whatever is set: the older copy of the store may lack them.
+func (r *Registrar) HoldZonesToLeave(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for zone := range r.zonesToLeave {
+		r.zonesHeld[zone] = now.Add(expiryGrace)
+	}
+}
+
+// leaves reports whether a zone is to be left.
+func (r *Registrar) leaves(zone string) bool {
+	return r.zonesToLeave[zone] || !r.zonesHeld[zone].IsZero()
 }
 
 // SetZonesToLeave sets the zones whose servers receive no more requests.
@@ -351,6 +425,7 @@
 	add := func(entry serverEntry) {
 		instance := &Instance{Registration: entry.Registration, Policy: r.catalog.Services[entry.Service]}
 		name := entry.Name()
+		instance.Draining = instance.Draining || !r.heldUntil[name].IsZero()
 		if instances[name] != nil {
 			return
 		}
@@ -367,7 +442,7 @@
 	}
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		state := configurator.ZoneIn
-		if r.zonesToLeave[zone] {
+		if r.leaves(zone) {
 			state = configurator.ZoneOut
 		}
 		config.Zones = append(config.Zones, configurator.Zone{Name: zone, State: state})
@@ -389,7 +464,7 @@
 	}
 	covered := map[string]map[string]bool{}
 	for _, instance := range instances {
-		if instance.Draining || r.zonesToLeave[instance.Zone] || !shards[instance.Service] {
+		if instance.Draining || r.leaves(instance.Zone) || !shards[instance.Service] {
 			continue
 		}
 		if covered[instance.Zone] == nil {
--- a/internal/forwarder/feed.go
+++ b/internal/forwarder/feed.go
@@ -35,7 +35,7 @@
 func (f *Forwarder) renewCatalogs(known broker.Knowledge) {
 	f.feeds.catalogs.Renew(known)
 	if f.relays.Direct() {
-		f.feeds.hosts.Renew(broker.Knowledge{At: known.At})
+		f.feeds.hosts.Renew(broker.Knowledge{Position: broker.Position{Era: known.Era}, At: known.At})
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,6 +74,8 @@
 	Hosts    broker.Collection[broker.HostRecord]
 	// Lists holds one list of servers, named serverListName.
 	Lists broker.Collection[broker.ServerList]
+	// Eras tracks the era of the store; nil if nothing reads it.
+	Eras *follower.Eras
 }
 
 // Dependencies are what a host is built from.
@@ -104,33 +106,35 @@
 	logger            *slog.Logger
 	requestLogLimiter *logger.Limiter // limits the log lines of requests that were refused, slow or had failed attempts
 
-	drainer     *drainer.Drainer
-	cutoff      *cutoff
-	tracker     *tracker.Tracker
-	registrar   *registrar.Registrar
-	dispatcher  *dispatcher.Dispatcher
-	budgets     *budgeter.Shards
-	prober      *prober.Prober
-	gate        *follower.Gate
-	relays      *relayer.Relays
-	delegates   *delegator.Delegates
-	messenger   broker.DelegationSender
-	isolation   isolation
-	load        load
-	quarantine  *quarantine
-	notices     *notices
-	feeds       feeds
-	lifetime    addressLifetime
-	divided     atomic.Pointer[dividedHosts]
-	process     string      // identifies this process
-	passesOn    atomic.Bool // other hosts read collections from this one
-	hostsKnown  signal      // the registered hosts have been read
-	recorded    signal      // the store has the record of this host
-	work        *workload
-	probeNow    chan struct{} // receives when the next round of probes is to begin at once
-	probeRounds *probeRounds
-	stopping    atomic.Bool // a planned stop of a resolver has begun
-	tasks       sync.WaitGroup
+	drainer      *drainer.Drainer
+	cutoff       *cutoff
+	tracker      *tracker.Tracker
+	registrar    *registrar.Registrar
+	dispatcher   *dispatcher.Dispatcher
+	budgets      *budgeter.Shards
+	prober       *prober.Prober
+	gate         *follower.Gate
+	relays       *relayer.Relays
+	delegates    *delegator.Delegates
+	messenger    broker.DelegationSender
+	isolation    isolation
+	load         load
+	quarantine   *quarantine
+	notices      *notices
+	feeds        feeds
+	lifetime     addressLifetime
+	divided      atomic.Pointer[dividedHosts]
+	process      string      // identifies this process
+	passesOn     atomic.Bool // other hosts read collections from this one
+	hostsKnown   signal      // the registered hosts have been read
+	returned     storeReturns
+	refreshHosts func() // lists the registered hosts again
+	recorded     signal // the store has the record of this host
+	work         *workload
+	probeNow     chan struct{} // receives when the next round of probes is to begin at once
+	probeRounds  *probeRounds
+	stopping     atomic.Bool // a planned stop of a resolver has begun
+	tasks        sync.WaitGroup
 
 	reloadable  atomic.Pointer[Settings] // settings as last reloaded
 	createdAt   time.Time
@@ -168,6 +172,11 @@
 	f.feeds = newFeeds(f.relaysCollections)
 	f.quarantine = newQuarantine(f.set, f.logger)
 	f.notices = newNotices(f.set, f.logger, f.tracker.CountNotices)
+	if f.sources.Eras == nil {
+		f.sources.Eras = follower.NewEras()
+	}
+	f.returned.notify, f.refreshHosts = make(chan struct{}, 1), func() {}
+	f.set.NewGauge("yuccarock_store_era", func() float64 { return float64(f.returned.era.Load()) })
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
 	f.set.NewGauge("yuccarock_wanted_cores", f.load.wantedCapacity)
 	f.prober = prober.New(deps.Probe, prober.Options{
@@ -356,6 +365,8 @@
 	hosts := follower.New(feedHosts, relayer.NewSource[broker.HostRecord](feedHosts, f.sources.Hosts, f.relays),
 		f.updateHosts, options(serversPause, 0, f.feeds.hosts.Renew), f.set, f.logger)
 	refresh = []func(){catalogs.Refresh, servers.Refresh, leaving.Refresh, hosts.Refresh}
+	f.refreshHosts = hosts.Refresh
+	f.sources.Eras.OnRise(func(uint64, uint64) { historyGone() })
 	tasks := []func(context.Context){
 		f.afterHosts(catalogs.Run), f.afterHosts(servers.Run), f.afterHosts(leaving.Run), f.afterRecord(hosts.Run),
 		f.probeHosts, f.expireServers,
@@ -370,6 +381,7 @@
 
 func (f *Forwarder) adoptCatalog(update follower.Update[*broker.Catalog]) {
 	f.feeds.catalogs.Publish(update)
+	noteEra(f, update)
 	for _, item := range update.Items {
 		if f.registrar.Adopt(item.Value) {
 			f.logger.Info("configuration in force", "version", item.Value.Version, "revision", item.Revision,
@@ -380,6 +392,7 @@
 
 func (f *Forwarder) updateServers(update follower.Update[broker.Registration]) {
 	f.feeds.servers.Publish(update)
+	noteEra(f, update)
 	servers := make(map[string]broker.Registration, len(update.Items))
 	for name, item := range update.Items {
 		servers[name] = item.Value
@@ -393,6 +406,8 @@
 // an outage of the store only after two of them, because an entry lives for three.
 func (f *Forwarder) origin(update follower.Update[broker.Registration]) registrar.Origin {
 	switch {
+	case update.Returned:
+		return registrar.FromOlderCopy
 	case !update.Listed:
 		return registrar.FromChanges
 	case !update.Failed && update.Gap < 2*f.settings.Heartbeat:
@@ -404,10 +419,14 @@
 
 func (f *Forwarder) updateZonesToLeave(update follower.Update[struct{}]) {
 	f.feeds.leaving.Publish(update)
+	noteEra(f, update)
 	var zones []string
 	for name := range update.Items {
 		zones = append(zones, name)
 	}
+	if update.Returned {
+		f.registrar.HoldZonesToLeave(time.Now())
+	}
 	f.registrar.SetZonesToLeave(zones)
 	f.logger.Info("zones to leave changed", "at", update.Known.Revision, "zones", zones)
 }
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	startWait = 200 * time.Millisecond
 	// recordCheckInterval is the pause between checks whether the store still has the record of this host.
 	recordCheckInterval = 5 * time.Second
+	// rewriteSpread is the time over which hosts write their records again after the store came back from an older copy.
+	rewriteSpread = time.Second
 	// minProbePause is the pause between two probes if the registered hosts change.
 	minProbePause = 100 * time.Millisecond
 	// probeAllInterval is the pause between probes of all hosts, including those on standby. The record of a host is
@@ -71,9 +74,14 @@
 	}
 }
 
-// awaitRemoval returns once two checks in a row found no record of this host.
+// awaitRemoval returns once two checks in a row found no record of this host, or a while after the store came back from an
+// older copy, which may not have it.
 func (f *Forwarder) awaitRemoval(ctx context.Context) {
-	for missing := 0; missing < 2 && waiter.Wait(ctx, recordCheckInterval); {
+	for missing := 0; missing < 2 && ctx.Err() == nil; {
+		if f.returned.await(ctx, recordCheckInterval) {
+			waiter.Wait(ctx, rand.N(rewriteSpread))
+			return
+		}
 		if _, found, loaded := f.feeds.hosts.Find(f.settings.Node); found || !loaded {
 			missing = 0
 		} else {
@@ -84,10 +92,15 @@
 
 func (f *Forwarder) updateHosts(update follower.Update[broker.HostRecord]) {
 	f.feeds.hosts.Publish(update)
+	noteEra(f, update)
 	hosts := make(map[string]broker.HostRecord, len(update.Items))
 	for name, item := range update.Items {
 		hosts[name] = item.Value
 	}
+	if update.Returned {
+		time.AfterFunc(hostGrace, f.refreshHosts)
+	}
+	f.returned.keepHosts(update.Returned, f.prober.Known(), hosts, time.Now())
 	f.prober.SetHosts(hosts)
 	f.updateRelays()
 	f.hostsKnown.send()
@@ -148,8 +161,11 @@
 // hosts does so, and only at the revision that it has seen, so that a record that was just written again is kept.
 func (f *Forwarder) removeGoneHosts(ctx context.Context) {
 	missed := map[string]int{}
-	for waiter.Wait(ctx, probeAllInterval) {
-		if !f.isFirstServing() || f.gate.Unavailable() {
+	for era := f.returned.era.Load(); waiter.Wait(ctx, probeAllInterval); {
+		last := era
+		era = f.returned.era.Load()
+		// After a return of the store, revisions that were seen before it may be those of other changes.
+		if !f.isFirstServing() || f.gate.Unavailable() || era != last {
 			clear(missed)
 			continue
 		}
--- a/internal/forwarder/list.go
+++ b/internal/forwarder/list.go
@@ -13,8 +13,11 @@
 // serving hosts.
 func (f *Forwarder) maintainServerList(ctx context.Context) {
 	written := f.restoreServerList(ctx)
-	for ctx.Err() == nil {
+	for era := f.returned.era.Load(); ctx.Err() == nil; {
 		waiter.Wait(ctx, serverListInterval)
+		if current := f.returned.era.Load(); current != era {
+			era, written = current, broker.ServerList{} // the store may have an older list
+		}
 		if !f.isFirstServing() {
 			continue
 		}
