Read a host's record for a probe under the lock

A probe could have gone to an address made of two records. TestLostHosts is the first test that registers hosts while others are probed.

Change: Probe takes the records under its lock.

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -238,26 +238,23 @@
 
 // Probe probes the named hosts once and returns when each has answered or timed out.
 func (p *Prober) Probe(ctx context.Context, names []string) {
+	var probes sync.WaitGroup
 	p.mu.Lock()
-	probed := make([]*host, 0, len(names))
 	for _, name := range names {
 		if h := p.hosts[name]; h != nil {
-			probed = append(probed, h)
+			record := h.record // SetHosts may replace it meanwhile
+			probes.Go(func() { p.probe(ctx, h, record) })
 		}
 	}
 	p.mu.Unlock()
-	var probes sync.WaitGroup
-	for _, h := range probed {
-		probes.Go(func() { p.probe(ctx, h) })
-	}
 	probes.Wait()
 }
 
-func (p *Prober) probe(ctx context.Context, h *host) {
+func (p *Prober) probe(ctx context.Context, h *host, record broker.HostRecord) {
 	callCtx, cancel := context.WithTimeout(ctx, p.options.Timeout)
 	defer cancel()
 	sent := time.Now()
-	answer, err := p.check(callCtx, h.record)
+	answer, err := p.check(callCtx, record)
 	if ctx.Err() != nil {
 		return
 	}
