--- a/internal/broker/coordination/follower/follower.go
+++ b/internal/broker/coordination/follower/follower.go
@@ -297,8 +297,8 @@
 }
 
 // accepts reports whether a listing from another host can replace the current state: whether it is not older. At a lower
-// revision of the same era it has to hold the same items, because the store counts the changes of all collections: the other host may
-// have missed nothing.
+// revision of the same era it has to hold the same items, because the store counts the changes of all collections: the
+// other host may have missed nothing.
 func (f *Follower[T]) accepts(items []broker.Item[T], known broker.Knowledge) bool {
 	if !f.loaded || !known.Before(f.position) || known.Era == f.position.Era && f.holds(items) {
 		return true
