Have all directories want the same capacity

Cause, from a log of look-ups (trial): each directory named 9 to 22 hosts and wanted 5 to 7 cores, at 0.2 cores in use. The wanted capacity of the start fell by 1% a round of probes, which hosts in standby make each 5 s; the sum had hosts that were probed at the start only; and since a host probed ever more others while they were starting, as too few had answered that they take requests.

Change: the capacity falls by 1% a second; the load is that of the usual candidates; more hosts are probed at once only if probed ones were silent.

--- a/internal/broker/coordination/prober/prober.go
+++ b/internal/broker/coordination/prober/prober.go
@@ -182,13 +182,15 @@
 	return known
 }
 
-// Load returns the number of processor cores in use at all other hosts together, from their last probes.
-func (p *Prober) Load() float64 {
+// Load returns the number of processor cores in use at the named hosts together, from their last probes.
+func (p *Prober) Load(names []string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	load := 0.0
-	for _, h := range p.hosts {
-		load += h.load
+	for _, name := range names {
+		if h := p.hosts[name]; h != nil {
+			load += h.load
+		}
 	}
 	return load
 }
--- a/internal/forwarder/hosts.go
+++ b/internal/forwarder/hosts.go
@@ -119,20 +119,25 @@
 
 // probeHosts regularly probes the serving hosts and those next in order, and updates the load from their answers.
 func (f *Forwarder) probeHosts(ctx context.Context) {
-	spares := spareCandidates
+	spares, last := spareCandidates, time.Now()
 	for ctx.Err() == nil {
 		started := time.Now()
-		candidates := f.probeCandidates(spares)
-		f.prober.Probe(ctx, candidates)
+		candidates := f.probeCandidates(spareCandidates)
+		probed := candidates
+		if spares > spareCandidates {
+			probed = f.probeCandidates(spares)
+		}
+		f.prober.Probe(ctx, probed)
 		f.probeRounds.completed(started)
-		if f.lacksAnswers(candidates) {
+		if f.lacksAnswers(probed) {
 			spares *= 2
 			f.requestProbes()
 		} else {
 			spares = spareCandidates
 		}
 		f.load.sampleProcessorTime(time.Now(), processorTime())
-		f.load.updateWanted(f.prober.Load() + f.load.ownCores())
+		f.load.updateWanted(f.prober.Load(candidates)+f.load.ownCores(), started.Sub(last))
+		last = started
 		f.updateHostShare()
 		f.syncQuarantine(ctx)
 		needed := f.settings.resolvesOnly() || slices.Contains(candidates, f.settings.Node)
--- a/internal/forwarder/load.go
+++ b/internal/forwarder/load.go
@@ -17,8 +17,8 @@
 	// targetUtilization is the share of the serving hosts' processors that may be in use. Beyond it answers queue behind
 	// each other, and the remaining hosts must be able to take over the load of a lost zone.
 	targetUtilization = 0.35
-	// maxShrink is the largest share by which the wanted capacity falls per interval, so that hosts do not leave and
-	// return while the load fluctuates.
+	// maxShrink is the largest share by which the wanted capacity falls per second, so that hosts do not leave and return
+	// while the load fluctuates.
 	maxShrink = 0.01
 )
 
@@ -48,10 +48,11 @@
 	l.sampledAt, l.processor = now, processor
 }
 
-// updateWanted updates the wanted capacity from the cores in use by all hosts. It rises at once and falls slowly.
-func (l *load) updateWanted(cores float64) {
+// updateWanted updates the wanted capacity from the cores in use by all hosts, a time after the last update. It rises at once
+// and falls slowly, equally fast on hosts that probe seldom, so that all directories name the same hosts.
+func (l *load) updateWanted(cores float64, elapsed time.Duration) {
 	current := math.Float64frombits(l.wanted.Load())
-	l.wanted.Store(math.Float64bits(max(cores/targetUtilization, current*(1-maxShrink))))
+	l.wanted.Store(math.Float64bits(max(cores/targetUtilization, current*math.Pow(1-maxShrink, elapsed.Seconds()))))
 }
 
 // processorTime returns the processor time used by this process.
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -25,16 +25,16 @@
 	if got := l.wantedCapacity(); got != minCapacity {
 		t.Errorf("capacity without load: got %.2f, want %.2f", got, minCapacity)
 	}
-	l.updateWanted(1.4)
+	l.updateWanted(1.4, time.Second)
 	if got := l.wantedCapacity(); math.Abs(got-4) > 0.01 {
 		t.Errorf("capacity at 1.4 cores in use: got %.2f, want 4", got)
 	}
-	l.updateWanted(0)
+	l.updateWanted(0, time.Second)
 	if got := l.wantedCapacity(); got < 3.9 {
 		t.Errorf("capacity a second after the load: got %.2f, want 3.9 or more", got)
 	}
 	for range 300 {
-		l.updateWanted(0)
+		l.updateWanted(0, time.Second)
 	}
 	if got := l.wantedCapacity(); got != minCapacity {
 		t.Errorf("capacity five minutes after the load: got %.2f, want %.2f", got, minCapacity)
@@ -56,7 +56,7 @@
 		t.Errorf("serving hosts without load: got %d, want %d", got, minServingHosts)
 	}
 	f.prober.Probe(t.Context(), []string{"a", "b", "c"})
-	f.load.updateWanted(f.prober.Load() + f.load.ownCores())
+	f.load.updateWanted(f.prober.Load([]string{"a", "b", "c"})+f.load.ownCores(), time.Second)
 	// 0.6 cores in use require a capacity of 1.71 cores, which five hosts have.
 	if got := len(f.serving()); got != 5 {
 		t.Errorf("serving hosts with 0.6 cores in use: got %d, want 5", got)
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -216,9 +216,13 @@
 	return names
 }
 
-// lacksAnswers returns whether the hosts that have answered a probe recently have less than the wanted capacity although
-// further hosts may have it.
+// lacksAnswers returns whether some of the probed hosts were silent, and the ones that have answered recently have less than
+// the wanted capacity although further hosts may have it.
 func (f *Forwarder) lacksAnswers(probed []string) bool {
+	silent := f.prober.Silent()
+	if !slices.ContainsFunc(probed, func(name string) bool { return silent[name] }) {
+		return false
+	}
 	healthy, suspect := f.prober.Confirmed(maxAnswerAge)
 	if _, enough := f.choose(f.withOwn(healthy), suspect); enough {
 		return false
