Answer look-ups without a wait for probes

Cause: since a look-up at a host in standby waits for a round of probes, which opens connections in other zones, and takes up to 0.3 s as long as one of the candidates is lost: the record of a lost host stays for ten minutes.

Change: a look-up has the hosts probed, and is answered at once from those that have answered within 5.7 s, which is longer than the pause in standby and less than the 7 s after which a host that is gone may not be named. It waits only if there are none.

Ruled out: shorter waits; a lost host would still be named if it is not found lost meanwhile.

Test, on the code before: TestLookUpInStandby, which had no lost host that is silent, "look-up: took 300ms, want at most 20 ms".

--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -22,11 +22,11 @@
 	// spareCandidates is how many further hosts are probed, so that hosts that take over are known to be running. While too
 	// few hosts answer, it doubles with each round.
 	spareCandidates = 4
-	// maxAnswerAge is how long a host is named after its last answer to a probe. It is no shorter than the pause between the
-	// probes of a host in standby.
-	maxAnswerAge = standbyProbeInterval
-	// A look-up waits up to lookUpProbeWait for new probes if the last ones are older than lookUpProbeAge, as in standby.
-	// Callers wait 1 s for an answer.
+	// maxAnswerAge is how long a host is named after its last answer to a probe. It is no shorter than the time between two
+	// answers to a host in standby.
+	maxAnswerAge = standbyProbeInterval + prober.DefaultTimeout
+	// A look-up has the hosts probed if the last probes are older than lookUpProbeAge, as in standby. It waits up to
+	// lookUpProbeWait for that only if no host is known to be running; callers wait 1 s for an answer.
 	lookUpProbeAge  = 3 * prober.DefaultInterval / 2
 	lookUpProbeWait = 300 * time.Millisecond
 )
@@ -40,7 +40,7 @@
 // connections; hosts in the zones of the servers come first.
 func (f *Forwarder) Resolve(string) ([]netip.AddrPort, time.Duration) {
 	f.meters.resolve.Inc()
-	f.awaitRecentProbes()
+	f.renewProbes()
 	hosts := f.namedHosts()
 	rand.Shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
 	entries := make([]netip.AddrPort, 0, len(hosts))
@@ -64,13 +64,17 @@
 	return chosen
 }
 
-// awaitRecentProbes has the other hosts probed now unless they were recently, and waits for the answers.
-func (f *Forwarder) awaitRecentProbes() {
+// renewProbes has the other hosts probed now unless they were recently. It waits only if none has answered lately: a host
+// that is lost delays the end of each round.
+func (f *Forwarder) renewProbes() {
 	last, next := f.probeRounds.state()
 	if time.Since(last) < lookUpProbeAge {
 		return
 	}
 	f.requestProbes()
+	if healthy, _ := f.prober.Confirmed(maxAnswerAge); len(healthy) > 0 {
+		return
+	}
 	timer := time.NewTimer(lookUpProbeWait)
 	defer timer.Stop()
 	select {
