--- a/internal/forwarder/hosts_test.go
+++ b/internal/forwarder/hosts_test.go
@@ -30,6 +30,15 @@
 	return prober.Answer{Ready: true, Load: s.load}, nil
 }
 
+// checkWithoutPower is check for hosts that are silent until the probe times out, and not at once.
+func (s *silentHosts) checkWithoutPower(ctx context.Context, host broker.HostRecord) (prober.Answer, error) {
+	answer, err := s.check(ctx, host)
+	if err != nil {
+		<-ctx.Done()
+	}
+	return answer, err
+}
+
 // newTestForwarder returns a host that knows four other hosts.
 func newTestForwarder(silent *silentHosts) *Forwarder {
 	f := New(Dependencies{
--- a/internal/forwarder/look_up_test.go
+++ b/internal/forwarder/look_up_test.go
@@ -12,7 +12,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
-	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 )
 
 // TestLookUpInStandby guards against a directory on a host in standby, which probes others seldom, that names a host
@@ -22,15 +21,8 @@
 		none, lost := []string{}, []string{"a"}
 		silent := &silentHosts{}
 		silent.names.Store(&none)
-		check := func(ctx context.Context, host broker.HostRecord) (prober.Answer, error) {
-			answer, err := silent.check(ctx, host)
-			if err != nil { // a host without power does not answer
-				<-ctx.Done()
-			}
-			return answer, err
-		}
 		f := New(Dependencies{
-			Settings: Settings{Node: "z", Entry: netip.MustParseAddrPort("127.0.0.1:1")}, Probe: check, Metrics: metrics.NewSet(),
+			Settings: Settings{Node: "z", Entry: netip.MustParseAddrPort("127.0.0.1:1")}, Probe: silent.checkWithoutPower, Metrics: metrics.NewSet(),
 			Logger: slog.New(slog.DiscardHandler),
 		})
 		records := map[string]broker.HostRecord{}
--- a/internal/forwarder/lost_host_test.go
+++ b/internal/forwarder/lost_host_test.go
@@ -13,7 +13,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
-	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 )
 
 // TestLostHosts guards against addresses of a host that is long gone because it was not probed lately: never, as it was not
@@ -46,15 +45,8 @@
 				silent := &silentHosts{}
 				none := []string{}
 				silent.names.Store(&none)
-				check := func(ctx context.Context, host broker.HostRecord) (prober.Answer, error) {
-					answer, err := silent.check(ctx, host)
-					if err != nil { // a host without power does not answer
-						<-ctx.Done()
-					}
-					return answer, err
-				}
 				f := New(Dependencies{
-					Settings: Settings{Node: "resolver"}, Probe: check, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+					Settings: Settings{Node: "resolver"}, Probe: silent.checkWithoutPower, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 				})
 				records := map[string]broker.HostRecord{}
 				register := func(from, to int) {
