Limit the connections of callers and other hosts

What callers saw: once others had opened enough connections, a host ran out of descriptors and took no one any more.

Cause: each listener accepted whatever came, and nothing but time-outs ended a connection that sends nothing.

Change: one account (internal/broker/state/accountant) has the shares of a process's memory and descriptors and counts all inbound connections. A full one closes the connection that has been longest without a request in progress; limiter wraps the listeners.

Ruled out: refusing the newest shuts ordinary callers out for as long as the crowd stays; a limit for each address hits callers that share one.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -30,6 +30,8 @@
 			&cli.StringFlag{Name: "settings", Usage: "the platform's JSON settings `FILE`", Required: true,
 				Sources: cli.EnvVars(platform.SettingsVariable)},
 			&cli.Uint16Flag{Name: "metrics-port", Usage: "TCP `PORT` of /metrics on this host's address, 0 for none"},
+			&cli.IntFlag{Name: "max-connections", Usage: "maximum `NUMBER` of connections of callers and other hosts, 0 for what memory_mb and\n" +
+				"max_fds allow"},
 			&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the log: debug, info, warn or error", Value: "info"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -37,8 +39,13 @@
 			if err := level.UnmarshalText([]byte(command.String("log-level"))); err != nil {
 				return usage("--log-level: %v", err)
 			}
+			if command.Int("max-connections") < 0 {
+				return usage("--max-connections must not be negative")
+			}
 			load := func() (platform.Settings, error) {
-				return platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
+				settings, err := platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
+				settings.MaxInbound = command.Int("max-connections")
+				return settings, err
 			}
 			settings, err := load()
 			if err != nil {
@@ -49,15 +56,11 @@
 	}
 }
 
-// collectedShare is the part of a process's memory, in percent, above which garbage is collected at once. The rest is for
-// bytes in the buffers of connections, which count as memory of the process too.
-const collectedShare = 60
-
 func runHost(
 	ctx context.Context, settings platform.Settings, load func() (platform.Settings, error), level slog.Level,
 ) error {
 	if settings.Memory > 0 {
-		debug.SetMemoryLimit(settings.Memory / 100 * collectedShare)
+		debug.SetMemoryLimit(settings.Shares().Collected)
 	}
 	set := metrics.NewSet()
 	log := logger.New(os.Stdout, level, set)
--- /dev/null
+++ b/internal/broker/state/accountant/account.go
@@ -0,0 +1,209 @@
+package accountant
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Account is the memory of requests and the number of inbound connections. Its methods may be called concurrently.
+type Account struct {
+	memory    int64 // maximum of used
+	sockets   int   // maximum number of connections
+	onEvict   func(Eviction)
+	createdAt time.Time
+
+	used   atomic.Int64
+	leased atomic.Int64 // part of used that requests in progress have
+
+	mu          sync.Mutex
+	connections map[*Connection]struct{}
+	leaving     int64 // memory of evicted connections that they have not released yet
+}
+
+const (
+	// leavingPart is the divisor of the memory that evicted connections may have until they notice.
+	leavingPart = 4
+	// smallPart is the divisor of the memory that large requests in progress leave to others.
+	smallPart = 4
+	// progressTime is how long a request may take to arrive without giving way to others that are arriving.
+	progressTime = 250 * time.Millisecond
+)
+
+// Eviction describes a connection that had to give way.
+type Eviction struct {
+	Phase Phase
+	Age   time.Duration // in this phase
+	Bytes int64         // memory that it held
+}
+
+// New returns an empty account; onEvict is called for each connection that has to give way.
+func New(shares Shares, onEvict func(Eviction)) *Account {
+	return &Account{
+		memory: shares.Requests, sockets: shares.Inbound, onEvict: onEvict, createdAt: time.Now(),
+		connections: make(map[*Connection]struct{}),
+	}
+}
+
+// Used returns the memory in use, in bytes.
+func (a *Account) Used() int64 { return a.used.Load() }
+
+// Connections returns the number of open connections.
+func (a *Account) Connections() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.connections)
+}
+
+// now returns the time since the account was created. The time of day may jump.
+func (a *Account) now() time.Duration { return time.Since(a.createdAt) }
+
+// Open adds a connection. If there are too many, the one that has made no progress for longest is closed; without such a
+// connection, Open fails with KindFull. Interrupt has to end the reads of the connection, and closeNow to close it.
+func (a *Account) Open(interrupt, closeNow func()) (*Connection, error) {
+	now := a.now()
+	c := &Connection{account: a, interrupt: interrupt, closeNow: closeNow}
+	c.state.Store(uint64(newState(PhaseIdle, now)))
+	a.mu.Lock()
+	var victim *Connection
+	if len(a.connections) >= a.sockets {
+		if victim = a.evict(rankByAge, now); victim == nil {
+			a.mu.Unlock()
+			return nil, &Error{Op: "open a connection", Kind: KindFull}
+		}
+		delete(a.connections, victim)
+	}
+	a.connections[c] = struct{}{}
+	a.mu.Unlock()
+	if victim != nil {
+		victim.closeNow()
+	}
+	return c, nil
+}
+
+// rank is the order in which connections give way, the highest first; one with zero never does.
+type rank func(c *Connection, current state, now time.Duration) float64
+
+// closingRank is above the age of any other connection, in seconds: nothing is lost with one that has been refused.
+const closingRank = 1e9
+
+// rankByAge prefers those that have made no progress for longest.
+func rankByAge(_ *Connection, current state, now time.Duration) float64 {
+	age := current.age(now).Seconds()
+	if current.phase() == PhaseClosing {
+		age += closingRank
+	}
+	return age
+}
+
+// rankByUse prefers those that have held most memory for longest.
+func rankByUse(c *Connection, current state, now time.Duration) float64 {
+	return float64(c.bytes.Load()) * current.age(now).Seconds()
+}
+
+// rankBySlowness is rankByUse without those that may still be arriving.
+func rankBySlowness(c *Connection, current state, now time.Duration) float64 {
+	if current.age(now) < progressTime {
+		return 0
+	}
+	return rankByUse(c, current, now)
+}
+
+// evict marks the connection with the highest rank as evicted and returns it, nil if none may give way; the caller holds mu.
+func (a *Account) evict(by rank, now time.Duration) *Connection {
+	for {
+		var victim *Connection
+		var seen state
+		highest := 0.0
+		for c := range a.connections {
+			current := c.load()
+			if !current.mayGiveWay(now) {
+				continue
+			}
+			if r := by(c, current, now); r > highest {
+				victim, seen, highest = c, current, r
+			}
+		}
+		if victim == nil {
+			return nil
+		}
+		// A connection that has moved on meanwhile stays.
+		if victim.state.CompareAndSwap(uint64(seen), uint64(newState(phaseEvicted, now))) {
+			victim.leaving = victim.bytes.Load()
+			a.leaving += victim.leaving
+			a.onEvict(Eviction{Phase: seen.phase(), Age: seen.age(now), Bytes: victim.leaving})
+			return victim
+		}
+	}
+}
+
+// take adds to the memory in use unless that would exceed the limit.
+func (a *Account) take(added int64) bool {
+	for {
+		used := a.used.Load()
+		if used+added > a.memory {
+			return false
+		}
+		if a.used.CompareAndSwap(used, used+added) {
+			return true
+		}
+	}
+}
+
+// reserve takes memory for a connection. Without room, connections are evicted in the order of by. It fails with KindEvicted
+// if that is the connection itself, and with KindFull if none may give way.
+func (a *Account) reserve(c *Connection, added int64, by rank) error {
+	if a.take(added) {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for !a.take(added) {
+		if c.Evicted() {
+			return &Error{Op: "reserve memory", Kind: KindEvicted}
+		}
+		if a.used.Load()-a.leaving+added <= a.memory {
+			a.used.Add(added) // those that were evicted release theirs as soon as they run
+			return nil
+		}
+		victim := (*Connection)(nil)
+		if a.leaving < a.memory/leavingPart {
+			victim = a.evict(by, a.now())
+		}
+		if victim == nil {
+			return &Error{Op: "reserve memory", Kind: KindFull}
+		}
+		if victim != c {
+			victim.interrupt()
+		}
+	}
+	return nil
+}
+
+// Fits reports whether a request could run with the given memory if all those that are arriving gave way. Requests in progress
+// that are large leave a quarter to others.
+func (a *Account) Fits(bytes int64, large bool) bool {
+	limit := a.memory
+	if large {
+		limit -= a.memory / smallPart
+	}
+	return a.leased.Load()+bytes <= limit
+}
+
+// release returns memory.
+func (a *Account) release(bytes int64) { a.used.Add(-bytes) }
+
+// remove forgets a connection that holds nothing any more.
+func (a *Account) remove(c *Connection) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.connections, c)
+}
+
+// settle records that an evicted connection has released its memory.
+func (a *Account) settle(c *Connection) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving -= c.leaving
+	c.leaving = 0
+}
--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -34,18 +34,13 @@
 	return Options{FirstByteTimeout: 500 * time.Millisecond, MaxAnswerBytes: 8 << 20, MaxBufferedBytes: 48 << 20}
 }
 
-const (
-	// bufferedShare is the part of a process's memory that answers take while they are being received. Garbage may add as
-	// much again, and connections and all other state take the rest.
-	bufferedShare = 16
-	// answersInBuffer is the number of complete answers of the maximum size that fit in: only half of the buffer is for large
-	// answers, which exist twice while they are put together.
-	answersInBuffer = 4
-)
+// answersInBuffer is the number of complete answers of the maximum size that fit in: only half of the buffer is for large
+// answers, which exist twice while they are put together.
+const answersInBuffer = 4
 
-// LimitMemory reduces the limits to what a process with the given memory in bytes can hold.
-func (o *Options) LimitMemory(memory int64) {
-	o.MaxBufferedBytes = min(o.MaxBufferedBytes, memory/bufferedShare)
+// LimitMemory reduces the limits to what fits in the given memory for answers, in bytes.
+func (o *Options) LimitMemory(answers int64) {
+	o.MaxBufferedBytes = min(o.MaxBufferedBytes, answers)
 	o.MaxAnswerBytes = min(o.MaxAnswerBytes, int(o.MaxBufferedBytes/answersInBuffer))
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +22,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/follower"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/prober"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/relayer"
+	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
 	"github.com/yuccarock/yuccarock/internal/broker/state/tracker"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/dispatcher"
@@ -60,10 +60,6 @@
 	serverListInterval = time.Second
 	// writeTimeout limits one write of this host to the store, or one read of its own objects.
 	writeTimeout = 1500 * time.Millisecond
-	// headerTimeout and idleTimeout exceed the limits for callers in current configurations.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
 )
 
 // Sources are the collections of the platform's store.
@@ -106,6 +102,9 @@
 	logger            *slog.Logger
 	requestLogLimiter *logger.Limiter // limits the log lines of requests that were refused, slow or had failed attempts
 
+	account         *accountant.Account
+	evictionLimiter *logger.Limiter // limits the log lines of connections that had to give way
+
 	drainer      *drainer.Drainer
 	cutoff       *cutoff
 	tracker      *tracker.Tracker
@@ -147,6 +146,7 @@
 		settings: deps.Settings, sources: deps.Sources, codec: deps.Codec, directory: deps.Directory,
 		tracer: deps.Tracer, set: deps.Metrics, meters: newMeters(deps.Metrics), logger: deps.Logger,
 		requestLogLimiter: logger.NewLimiter(requestLogRate, requestLogBurst),
+		evictionLimiter:   logger.NewLimiter(evictionLogRate, evictionLogBurst),
 		tracker:           tracker.New(), gate: follower.NewGate(), createdAt: time.Now(),
 		work: newWorkload(time.Now()), probeNow: make(chan struct{}, 1), probeRounds: newProbeRounds(), process: uuid.NewString(), hostsKnown: newSignal(), recorded: newSignal(),
 	}
@@ -157,9 +157,9 @@
 	})
 	options := dispatcher.DefaultOptions()
 	options.Dial = deps.Dial
-	if deps.Settings.Memory > 0 {
-		options.LimitMemory(deps.Settings.Memory)
-	}
+	shares := deps.Settings.Shares()
+	options.LimitMemory(shares.Answers)
+	f.account = accountant.New(shares, f.evicted)
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zone, deps.Settings.Zones)
 	if f.settings.resolvesOnly() {
@@ -176,6 +176,7 @@
 		f.sources.Eras = follower.NewEras()
 	}
 	f.returned.notify, f.refreshHosts = make(chan struct{}, 1), func() {}
+	f.set.NewGauge("yuccarock_inbound_connections", func() float64 { return float64(f.account.Connections()) })
 	f.set.NewGauge("yuccarock_store_era", func() float64 { return float64(f.returned.era.Load()) })
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
 	f.set.NewGauge("yuccarock_wanted_cores", f.load.wantedCapacity)
@@ -226,58 +227,6 @@
 	return err
 }
 
-// listeningServer is an HTTP server with its listener, which a planned stop closes first, to keep the open connections.
-type listeningServer struct {
-	*http.Server
-	listener net.Listener
-}
-
-func (f *Forwarder) newServer(address netip.AddrPort, handler http.Handler) (*listeningServer, error) {
-	listener, err := listen(address)
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
-	}
-	return &listeningServer{Server: server, listener: listener}, nil
-}
-
-func (f *Forwarder) serve(server *listeningServer) {
-	err := server.Serve(server.listener)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		f.logger.Error("HTTP server failed", "address", server.listener.Addr(), "error", err)
-	}
-}
-
-// serveAuxiliary serves readiness, directory, metrics and other hosts, each on its own address.
-func (f *Forwarder) serveAuxiliary() ([]*listeningServer, error) {
-	endpoints := []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{f.settings.Readiness, http.HandlerFunc(f.serveReadiness)},
-		{f.settings.Directory, f.directory(f.Resolve)},
-		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
-		{f.settings.Peer, f.servePeers()},
-	}
-	var servers []*listeningServer
-	for _, endpoint := range endpoints {
-		if !endpoint.address.IsValid() {
-			continue
-		}
-		server, err := f.newServer(endpoint.address, endpoint.handler)
-		if err != nil {
-			closeAll(servers)
-			return nil, err
-		}
-		servers = append(servers, server)
-		f.tasks.Go(func() { f.serve(server) })
-	}
-	return servers, nil
-}
-
 // startTasks starts the followers of the store and the tasks that depend on them.
 func (f *Forwarder) startTasks(ctx context.Context) {
 	var refresh []func()
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -14,6 +14,7 @@
 	set                                                *metrics.Set
 	sent, hedges, hedgesDenied, retries, retriesDenied *metrics.Counter
 	parts, missing, callersGone, resolve, withheld     *metrics.Counter
+	connectionsRefused                                 *metrics.Counter
 	firstAttempts, furtherAttempts                     crossZoneBytes
 }
 
@@ -33,7 +34,7 @@
 		set: set, sent: counter("attempts"), hedges: counter("hedges"), hedgesDenied: counter("hedges_denied"),
 		retries: counter("retries"), retriesDenied: counter("retries_denied"), parts: counter("parts"),
 		missing: counter("parts_missing"), callersGone: counter("callers_gone"), resolve: counter("resolves"),
-		withheld:      counter("attempts_withheld"),
+		withheld: counter("attempts_withheld"), connectionsRefused: counter("connections_refused"),
 		firstAttempts: newCrossZoneBytes(set, "firstAttempt"), furtherAttempts: newCrossZoneBytes(set, "furtherAttempt"),
 	}
 }
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
 )
 
 // Settings are the settings of one host. A host without Entry is a resolver: it takes no requests and only tells callers
@@ -28,6 +30,10 @@
 	Heartbeat time.Duration
 	// Memory is the memory that this process may use, in bytes; zero means no limit.
 	Memory int64
+	// Descriptors is the number of descriptors that this process may have; zero means no limit.
+	Descriptors int
+	// MaxInbound is the number of connections of callers and other hosts; zero derives it from Descriptors and Memory.
+	MaxInbound int
 	// StoreHistory is how long the store keeps its history.
 	StoreHistory time.Duration
 	// StopDeadline is the maximum duration of a planned stop.
@@ -38,5 +44,14 @@
 	RetrySlack int
 }
 
+// Shares returns the parts of this process's memory and descriptors.
+func (s *Settings) Shares() accountant.Shares {
+	shares := accountant.Divide(s.Memory, s.Descriptors)
+	if s.MaxInbound > 0 {
+		shares.Inbound = s.MaxInbound
+	}
+	return shares
+}
+
 // resolvesOnly returns whether the host is a resolver.
 func (s *Settings) resolvesOnly() bool { return !s.Entry.IsValid() }
