Refuse bodies over the limit unread, and keep little in receive buffers

What callers saw: a host that was ended for its memory, while others sent bodies far over the limit, announced or not, again and again.

Cause: such a body was read up to the limit, the receive buffer of each connection grew with the speed of its sender, up to 4,096 connections waited to be accepted with theirs, and after a refusal net/http either waited for the rest of the body or stood by for 500 ms.

Change: an announced length over the limit, and a request without a route, is refused before its body is read. Listeners set a receive buffer of 16 KiB, which connections inherit, and an accept queue of 128. A connection whose body was not read to its end drops the rest and closes; while it does, it is the first to give way.

Why it works: what one connection can hold unread is now a constant, so that the number of connections bounds the sum; with a large buffer it was the sender's choice. Ruled out: closing at once resets the connection, and the caller loses the refusal.

--- a/internal/broker/transport/limiter/conn.go
+++ b/internal/broker/transport/limiter/conn.go
@@ -5,19 +5,31 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
 )
 
-// pastDeadline is a deadline in the past, with which every read fails at once.
-var pastDeadline = time.Unix(1, 0)
+const (
+	// lingerTimeout and maxLingerBytes limit how long, and up to how many bytes, the rest of a refused body is read and
+	// dropped. Closing a connection with unread bytes would reset it, and the client could not read the answer.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
+	lingerReadSize = 2 << 10
+)
+
+var (
+	// pastDeadline is a deadline in the past, with which every read fails at once.
+	pastDeadline = time.Unix(1, 0)
+)
 
 // conn is one inbound connection.
 type conn struct {
 	net.Conn
 
-	entry *accountant.Connection
+	entry     *accountant.Connection
+	abandoned atomic.Bool // a part of a body is left that must not be read as a request
 
 	mu          sync.Mutex
 	interrupted bool
@@ -60,15 +72,36 @@
 // closeNow closes the socket at once; its owner closes the connection once it notices.
 func (c *conn) closeNow() { _ = c.Conn.Close() }
 
-// Close closes the connection.
+// Close closes the connection, after the client has had the time to read the answer to an abandoned request.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
+		if c.abandoned.Load() {
+			c.linger()
+		}
 		c.closeErr = c.Conn.Close()
 		c.entry.Close()
 	})
 	return c.closeErr
 }
 
+// linger ends the sending side and drops what the client still sends.
+func (c *conn) linger() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	var dropped [lingerReadSize]byte
+	for total := 0; total < maxLingerBytes; {
+		n, err := c.Conn.Read(dropped[:])
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
 // CloseWrite ends the sending side.
 func (c *conn) CloseWrite() error {
 	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/broker/transport/limiter/handler.go
+++ b/internal/broker/transport/limiter/handler.go
@@ -19,3 +19,16 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// Abandon has the connection closed after the answer, if a part of the request's body may be left; it is called before the
+// answer is written. The rest is never read as a request.
+func Abandon(w http.ResponseWriter, r *http.Request) {
+	c := connOf(r)
+	if c == nil || r.ContentLength == 0 {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	c.abandoned.Store(true)
+	c.entry.Refuse()
+	c.interrupt() // net/http would otherwise wait for the rest of the body
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,8 +19,6 @@
 	answerMargin = 15 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// defaultBodyLimit applies if the configuration sets no limit, in bytes.
-	defaultBodyLimit = 1 << 20
 	// The times after which callers are asked to retry. After notReadyRetry, a host that has just started may know the
 	// configuration; after noServerRetry, a server may have room or may have been registered; after leavingRetry, callers
 	// should try another host.
@@ -40,33 +37,37 @@
 	}
 	request, err := f.codec.Decode(r)
 	if err != nil {
-		f.refuse(w, r, "", broker.Failure{Kind: broker.FailureMalformed})
+		f.refuseUnread(w, r, "", broker.Failure{Kind: broker.FailureMalformed})
 		return
 	}
 	if !f.drainer.Begin() {
-		f.refuse(w, r, request.ID,
+		f.refuseUnread(w, r, request.ID,
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonLeaving, RetryAfter: leavingRetry})
 		return
 	}
 	defer f.drainer.End()
 	view := f.registrar.View()
 	if view == nil {
-		f.refuse(w, r, request.ID,
+		f.refuseUnread(w, r, request.ID,
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: notReadyRetry})
 		return
 	}
 	if f.isolated() && !f.isolation.allowTrial(started) {
-		f.refuse(w, r, request.ID,
+		f.refuseUnread(w, r, request.ID,
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonIsolated, RetryAfter: leavingRetry})
 		return
 	}
-	if failure := f.readBody(w, r, request, view); failure != nil {
-		f.refuse(w, r, request.ID, *failure)
+	entry := view.Routes.Match(request.Host, request.Path)
+	if entry == nil {
+		f.refuseUnread(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
+		return
+	}
+	if failure := f.readBody(w, r, request, view.Catalog.Limits); failure != nil {
+		f.refuseUnread(w, r, request.ID, *failure)
 		return
 	}
 	view = f.registrar.View() // a slow body takes seconds, in which servers leave
-	entry := view.Routes.Match(request.Host, request.Path)
-	if entry == nil {
+	if entry = view.Routes.Match(request.Host, request.Path); entry == nil {
 		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
 		return
 	}
@@ -122,28 +123,6 @@
 	return max(limit-answerMargin, limit/2)
 }
 
-// readBody reads the whole body, because it may have to be sent to several servers.
-func (f *Forwarder) readBody(
-	w http.ResponseWriter, r *http.Request, request *broker.OpaqueRequest, view *registrar.View,
-) *broker.Failure {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	limit := view.Catalog.Limits.BodyBytes
-	if limit == 0 {
-		limit = defaultBodyLimit
-	}
-	var err error
-	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return nil
-	}
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return &broker.Failure{Kind: broker.FailureTooLarge}
-	}
-	return &broker.Failure{Kind: broker.FailureMalformed}
-}
-
 // refuse answers a request that was not sent to any backend server.
 func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, id string, failure broker.Failure) {
 	f.meters.requestEnded("", string(failure.Reason), 0)
--- a/internal/forwarder/listener.go
+++ b/internal/forwarder/listener.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker/transport/limiter"
 )
 
 const (
@@ -26,7 +28,7 @@
 }
 
 func listen(address netip.AddrPort) (net.Listener, error) {
-	socket, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	socket, err := limiter.Listen(address)
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address.String(), Kind: KindListen, Err: err}
 	}
