Bound the memory of bodies that are arriving, and end those whose time is over

What callers saw: a host that was ended for its memory. Others sent many bodies of legal size and stopped one byte short of their end.

Cause: each body grew in a buffer of its own, without regard to the others, and was waited for without end.

Change: limiter.ReadBody takes the memory of a body from the account as it arrives, whatever length was announced. A request whose body is incomplete was never sent anywhere, so that 408 and 503 are true for it, and its connection is closed.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -32,6 +32,7 @@
 			&cli.Uint16Flag{Name: "metrics-port", Usage: "TCP `PORT` of /metrics on this host's address, 0 for none"},
 			&cli.IntFlag{Name: "max-connections", Usage: "maximum `NUMBER` of connections of callers and other hosts, 0 for what memory_mb and\n" +
 				"max_fds allow"},
+			&cli.Int64Flag{Name: "request-memory", Usage: "memory of all requests in `MIB`, 0 for a quarter of memory_mb"},
 			&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the log: debug, info, warn or error", Value: "info"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
@@ -39,12 +40,12 @@
 			if err := level.UnmarshalText([]byte(command.String("log-level"))); err != nil {
 				return usage("--log-level: %v", err)
 			}
-			if command.Int("max-connections") < 0 {
-				return usage("--max-connections must not be negative")
+			if command.Int("max-connections") < 0 || command.Int64("request-memory") < 0 {
+				return usage("--max-connections and --request-memory must not be negative")
 			}
 			load := func() (platform.Settings, error) {
 				settings, err := platform.LoadSettings(command.String("settings"), command.Uint16("metrics-port"))
-				settings.MaxInbound = command.Int("max-connections")
+				settings.MaxInbound, settings.RequestMemory = command.Int("max-connections"), command.Int64("request-memory")<<20
 				return settings, err
 			}
 			settings, err := load()
--- a/internal/broker/source.go
+++ b/internal/broker/source.go
@@ -175,6 +175,8 @@
 	FailureMalformed
 	// FailureTooLarge means that the body exceeds the limit.
 	FailureTooLarge
+	// FailureIncomplete means that the request did not arrive in time. It has not run and will not run.
+	FailureIncomplete
 	// FailureTimeout means that the request timed out; it may have run.
 	FailureTimeout
 	// FailureUnknown means that no backend server gave a usable answer; the request may have run.
@@ -188,6 +190,8 @@
 		return "notRun"
 	case FailureNoRoute:
 		return "noRoute"
+	case FailureIncomplete:
+		return "incomplete"
 	case FailureMalformed:
 		return "malformed"
 	case FailureTooLarge:
--- a/internal/broker/transport/limiter/error.go
+++ b/internal/broker/transport/limiter/error.go
@@ -7,6 +7,14 @@
 
 // Kinds of Error.
 const (
+	// KindTooLarge means that a body exceeds its limit.
+	KindTooLarge ErrorKind = "tooLarge"
+	// KindTimeout means that a body was not complete in time.
+	KindTimeout ErrorKind = "timeout"
+	// KindNoRoom means that there was no memory for a body, or that it had to give way to others.
+	KindNoRoom ErrorKind = "noRoom"
+	// KindMalformed means that a body ended early or is not encoded correctly.
+	KindMalformed ErrorKind = "malformed"
 	// KindListen means that an address could not be listened on.
 	KindListen ErrorKind = "listen"
 )
--- a/internal/broker/transport/limiter/handler.go
+++ b/internal/broker/transport/limiter/handler.go
@@ -4,7 +4,7 @@
 	"net/http"
 )
 
-// Handler returns a handler that accounts for the requests in progress.
+// Handler returns a handler that accounts for the requests in progress; next has to read their bodies with ReadBody.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
--- /dev/null
+++ b/internal/broker/transport/limiter/limiter_test.go
@@ -0,0 +1,204 @@
+package limiter
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
+)
+
+const (
+	bodyLimit   = 64 << 10
+	testTimeout = 10 * time.Second
+)
+
+// endpoint is a server whose handler answers with the size of the body.
+type endpoint struct {
+	address string
+	account *accountant.Account
+	bodies  atomic.Int64 // requests whose body was complete
+	timeout time.Duration
+}
+
+func newEndpoint(t *testing.T, shares accountant.Shares, timeout time.Duration) *endpoint {
+	t.Helper()
+	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{
+		address: socket.Addr().String(), account: accountant.New(shares, func(accountant.Eviction) {}), timeout: timeout,
+	}
+	server := &http.Server{Handler: Handler(http.HandlerFunc(e.serve)), ConnContext: ConnContext, ReadHeaderTimeout: testTimeout}
+	go func() { _ = server.Serve(NewListener(socket, e.account, metrics.NewSet().NewCounter("refused"))) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return e
+}
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := ReadBody(r, bodyLimit, time.Now().Add(e.timeout))
+	if err != nil {
+		Abandon(w, r)
+		var cause *Error
+		errors.As(err, &cause)
+		http.Error(w, string(cause.Kind), http.StatusTeapot)
+		return
+	}
+	e.bodies.Add(1)
+	_, _ = fmt.Fprint(w, len(body))
+}
+
+// exchange sends bytes on a new connection and returns everything that is answered until it is closed, or the first answer if
+// that is not a refusal.
+func (e *endpoint) exchange(t *testing.T, sent string) (answers []string) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = io.WriteString(c, sent)
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Errorf("answer: %v", err)
+		}
+		answers = append(answers, fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(string(body))))
+		if response.StatusCode == http.StatusOK {
+			break
+		}
+	}
+	_ = c.Close()
+	<-written
+	return answers
+}
+
+func post(fields, body string) string {
+	return "POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body
+}
+
+// TestReadBody guards against bodies inside the limit that are refused, and against refused ones whose rest is read as a request
+// or keeps the caller from reading the refusal.
+func TestReadBody(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	largest := strings.Repeat("b", bodyLimit)
+	chunk := func(size int, body string) string { return fmt.Sprintf("%x\r\n%s\r\n", size, body) }
+	chunked := "Transfer-Encoding: chunked\r\n"
+	tests := []struct {
+		name, sent, want string
+	}{
+		{"no body", post("Content-Length: 0\r\n", ""), "200 0"},
+		{"small", post("Content-Length: 2\r\n", "bb"), "200 2"},
+		{"largest", post(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), largest), "200 65536"},
+		{"largest in one chunk", post(chunked, chunk(bodyLimit, largest)+"0\r\n\r\n"), "200 65536"},
+		{"chunks of one byte", post(chunked, strings.Repeat("1\r\nb\r\n", 10_000)+"0\r\n\r\n"), "200 10000"},
+		{"one byte above, announced", post(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit+1), largest+"b"), "418 tooLarge"},
+		{"one byte above, in chunks", post(chunked, chunk(bodyLimit+1, largest+"b")+"0\r\n\r\n"), "418 tooLarge"},
+		{"far above, announced", post("Content-Length: 4294967296\r\n", strings.Repeat(smuggled, 10_000)), "418 tooLarge"},
+		{"far above, in a chunk", post(chunked, "40000000\r\n"+strings.Repeat(smuggled, 10_000)), "418 tooLarge"},
+		{"stops short", post("Content-Length: 99\r\n", smuggled), "418 timeout"},
+		{"stops short in a chunk", post(chunked, "63\r\n"+smuggled), "418 timeout"},
+		{"malformed chunk", post(chunked, "xyz\r\n"+smuggled), "418 malformed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			timeout := testTimeout
+			if strings.HasPrefix(tt.name, "stops short") {
+				timeout = 50 * time.Millisecond
+			}
+			e := newEndpoint(t, accountant.Divide(0, 0), timeout)
+			got := e.exchange(t, tt.sent)
+			if len(got) != 1 || got[0] != tt.want {
+				t.Errorf("answers: got %q, want only %q", got, tt.want)
+			}
+			awaitEmpty(t, e.account)
+		})
+	}
+}
+
+// awaitEmpty waits until the account holds nothing.
+func awaitEmpty(t *testing.T, account *accountant.Account) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); account.Used() != 0 || account.Connections() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("account: got %d bytes and %d connections, want none", account.Used(), account.Connections())
+		}
+	}
+}
+
+// TestNoRoomForBody guards against a body that is read without room for it, and against one without room that is refused with
+// an answer that cannot be read.
+func TestNoRoomForBody(t *testing.T) {
+	e := newEndpoint(t, accountant.Shares{Requests: bodyLimit / 2, Inbound: 4}, testTimeout)
+	got := e.exchange(t, post(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), strings.Repeat("b", bodyLimit)))
+	if len(got) != 1 || got[0] != "418 noRoom" {
+		t.Errorf("answers: got %q, want only \"418 noRoom\"", got)
+	}
+	if got := e.exchange(t, post("Content-Length: 2\r\n", "bb")); len(got) != 1 || got[0] != "200 2" {
+		t.Errorf("answers to a small request: got %q, want \"200 2\"", got)
+	}
+	awaitEmpty(t, e.account)
+}
+
+// TestKeptConnection guards against memory that requests on one connection add up.
+func TestKeptConnection(t *testing.T) {
+	e := newEndpoint(t, accountant.Shares{Requests: 4 * bodyLimit, Inbound: 4}, testTimeout)
+	c, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	reader := bufio.NewReader(c)
+	for range 20 {
+		_, _ = io.WriteString(c, post(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), strings.Repeat("b", bodyLimit)))
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("answer: got %v, %v, want status 200", response, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+	_ = c.Close()
+	awaitEmpty(t, e.account)
+}
+
+// TestIdleConnectionGivesWay guards against a full host that refuses the next caller.
+func TestIdleConnectionGivesWay(t *testing.T) {
+	e := newEndpoint(t, accountant.Shares{Requests: 1 << 20, Inbound: 2}, testTimeout)
+	idle := make([]net.Conn, 2)
+	for i := range idle {
+		c, err := net.Dial("tcp", e.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		idle[i] = c
+	}
+	if got := e.exchange(t, post("Content-Length: 2\r\n", "bb")); len(got) != 1 || got[0] != "200 2" {
+		t.Errorf("answers: got %q, want \"200 2\"", got)
+	}
+	_ = idle[0].SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := idle[0].Read(make([]byte, 1)); err == nil {
+		t.Error("the connection that was idle for longest: got a byte, want its end")
+	}
+}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,29 +20,33 @@
 	evictionLogBurst = 5
 )
 
-// readBody reads the whole body, because it may have to be sent to several servers.
+// bodyFailures are the failures of requests whose bodies could not be read. None of them has run.
+var bodyFailures = map[limiter.ErrorKind]broker.Failure{
+	limiter.KindTooLarge:  {Kind: broker.FailureTooLarge},
+	limiter.KindTimeout:   {Kind: broker.FailureIncomplete, Reason: broker.ReasonDeadline},
+	limiter.KindNoRoom:    {Kind: broker.FailureNotRun, Reason: broker.ReasonOverloaded, RetryAfter: noServerRetry},
+	limiter.KindMalformed: {Kind: broker.FailureMalformed},
+}
+
+// readBody reads the whole body, because it may have to be sent to several servers, while the request could be answered in
+// time.
 func (f *Forwarder) readBody(
-	w http.ResponseWriter, r *http.Request, request *broker.OpaqueRequest, limits broker.RequestLimits,
+	r *http.Request, request *broker.OpaqueRequest, limits broker.RequestLimits, route *broker.Route, started time.Time,
 ) *broker.Failure {
-	if r.ContentLength == 0 {
-		return nil
-	}
 	limit := limits.BodyBytes
 	if limit == 0 {
 		limit = defaultBodyLimit
 	}
-	if r.ContentLength > limit {
-		return &broker.Failure{Kind: broker.FailureTooLarge}
-	}
-	var err error
-	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return nil
-	}
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return &broker.Failure{Kind: broker.FailureTooLarge}
+	body, err := limiter.ReadBody(r, limit, started.Add(requestTimeout(request, route)))
+	if err != nil {
+		failure := broker.Failure{Kind: broker.FailureMalformed}
+		if cause := (*limiter.Error)(nil); errors.As(err, &cause) {
+			failure = bodyFailures[cause.Kind]
+		}
+		return &failure
 	}
-	return &broker.Failure{Kind: broker.FailureMalformed}
+	request.Body = body
+	return nil
 }
 
 // refuseUnread refuses a request whose body has not been read to its end, and closes its connection.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -62,7 +62,7 @@
 		f.refuseUnread(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
 		return
 	}
-	if failure := f.readBody(w, r, request, view.Catalog.Limits); failure != nil {
+	if failure := f.readBody(r, request, view.Catalog.Limits, entry.Route, started); failure != nil {
 		f.refuseUnread(w, r, request.ID, *failure)
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -177,6 +177,7 @@
 	}
 	f.returned.notify, f.refreshHosts = make(chan struct{}, 1), func() {}
 	f.set.NewGauge("yuccarock_inbound_connections", func() float64 { return float64(f.account.Connections()) })
+	f.set.NewGauge("yuccarock_request_memory_bytes", func() float64 { return float64(f.account.Used()) })
 	f.set.NewGauge("yuccarock_store_era", func() float64 { return float64(f.returned.era.Load()) })
 	f.set.NewGauge("yuccarock_serving_hosts", func() float64 { return float64(len(f.serving())) })
 	f.set.NewGauge("yuccarock_wanted_cores", f.load.wantedCapacity)
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -32,8 +32,10 @@
 	Memory int64
 	// Descriptors is the number of descriptors that this process may have; zero means no limit.
 	Descriptors int
-	// MaxInbound is the number of connections of callers and other hosts; zero derives it from Descriptors and Memory.
-	MaxInbound int
+	// MaxInbound is the number of connections of callers and other hosts, and RequestMemory the memory of all requests in
+	// bytes. Zero derives them from Descriptors and Memory.
+	MaxInbound    int
+	RequestMemory int64
 	// StoreHistory is how long the store keeps its history.
 	StoreHistory time.Duration
 	// StopDeadline is the maximum duration of a planned stop.
@@ -50,6 +52,9 @@
 	if s.MaxInbound > 0 {
 		shares.Inbound = s.MaxInbound
 	}
+	if s.RequestMemory > 0 {
+		shares.Requests = s.RequestMemory
+	}
 	return shares
 }
 
