Count heads with the memory that they take once parsed

What callers saw: a host that was ended for its memory, while others sent heads of many short fields that did not end.

Cause: a parsed head takes a multiple of its bytes, 17 times with fields of six bytes; no sum of them was kept, and the directory, the status check and the addresses for other hosts allowed 1 MiB each.

The start of a body that comes with its head does not count as one.

--- a/internal/broker/transport/limiter/conn.go
+++ b/internal/broker/transport/limiter/conn.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -22,6 +23,7 @@
 var (
 	// pastDeadline is a deadline in the past, with which every read fails at once.
 	pastDeadline = time.Unix(1, 0)
+	headEnd      = []byte("\r\n\r\n")
 )
 
 // conn is one inbound connection.
@@ -51,6 +53,25 @@
 	return c
 }
 
+// Read counts what is received outside of requests in progress.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		if refused := c.entry.Received(headLength(data[:n])); refused != nil {
+			return 0, refused
+		}
+	}
+	return n, err
+}
+
+// headLength returns how many of the bytes belong to a head, if it ends within them; the others are the start of its body.
+func headLength(data []byte) int {
+	if end := bytes.Index(data, headEnd); end >= 0 {
+		return end + len(headEnd)
+	}
+	return len(data)
+}
+
 // SetReadDeadline has no effect once the connection has been interrupted.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -195,7 +195,6 @@
 		if callers, err = f.newServer(f.settings.Entry, http.HandlerFunc(f.serveCaller)); err != nil {
 			return err
 		}
-		callers.MaxHeaderBytes = maxHeaderBytes
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/forwarder/servers.go
+++ b/internal/forwarder/servers.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	server := &http.Server{
-		Handler: limiter.Handler(handler), ConnContext: limiter.ConnContext,
+		Handler: limiter.Handler(handler), ConnContext: limiter.ConnContext, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
 	}
