Refuse bodies where none is taken

What callers saw: the directory and the status check did not answer a request whose body did not end, and each such request kept a socket.

Cause: their handlers do not read a body, and net/http then reads up to 256 KiB of it before it sends the answer, without a time-out.

Change: these endpoints and the metrics answer 413 to a request with a body and close its connection. No client of the pages sends one.

--- a/internal/broker/transport/limiter/handler.go
+++ b/internal/broker/transport/limiter/handler.go
@@ -20,6 +20,18 @@
 	})
 }
 
+// RefuseBodies returns a handler that refuses requests with a body, for endpoints that take none.
+func RefuseBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			Abandon(w, r)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Abandon has the connection closed after the answer, if a part of the request's body may be left; it is called before the
 // answer is written. The rest is never read as a request.
 func Abandon(w http.ResponseWriter, r *http.Request) {
--- a/internal/forwarder/servers.go
+++ b/internal/forwarder/servers.go
@@ -53,9 +53,9 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{f.settings.Readiness, http.HandlerFunc(f.serveReadiness)},
-		{f.settings.Directory, f.directory(f.Resolve)},
-		{f.settings.Metrics, http.HandlerFunc(f.serveMetrics)},
+		{f.settings.Readiness, limiter.RefuseBodies(http.HandlerFunc(f.serveReadiness))},
+		{f.settings.Directory, limiter.RefuseBodies(f.directory(f.Resolve))},
+		{f.settings.Metrics, limiter.RefuseBodies(http.HandlerFunc(f.serveMetrics))},
 		{f.settings.Peer, f.servePeers()},
 	}
 	var servers []*listeningServer
