Count messages of other hosts, and end those that stop short

What callers saw: a host that was ended for its memory, as with bodies of callers; here by delegations of which the last byte does not come.

Cause: delegations (up to 4 MiB) and crash reports (64 KiB) were read without an account and without an end.

A message that was not read to its end closes its connection. Nothing of a refused delegation has run; its sender makes the attempts itself, as before.

--- a/internal/broker/transport/messenger/handler.go
+++ b/internal/broker/transport/messenger/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -11,10 +10,15 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccarock/yuccarock/internal/broker"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/limiter"
 )
 
-// maxDelegationBytes limits the size of a delegation, of which the body of the caller's request is the largest part.
-const maxDelegationBytes = 4 << 20
+const (
+	// maxDelegationBytes limits the size of a delegation, of which the body of the caller's request is the largest part.
+	maxDelegationBytes = 4 << 20
+	// receiveTimeout is how long a delegation may take to arrive; another host sends it at once.
+	receiveTimeout = 2 * time.Second
+)
 
 // Runner runs a delegation and passes its results to deliver; last is set with the last ones. An error means that it has
 // not run any of it.
@@ -40,8 +44,10 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	delegation := &broker.Delegation{}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDelegationBytes))
-	if err == nil {
+	body, err := limiter.ReadBody(r, maxDelegationBytes, started.Add(receiveTimeout))
+	if err != nil {
+		limiter.Abandon(w, r)
+	} else {
 		err = decMode.Unmarshal(body, delegation)
 	}
 	if err != nil {
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/quarantiner"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/limiter"
 	"github.com/yuccarock/yuccarock/internal/logger"
 	"github.com/yuccarock/yuccarock/internal/waiter"
 )
@@ -185,7 +186,13 @@
 // serveReports receives the reports of another host.
 func (q *quarantine) serveReports(w http.ResponseWriter, r *http.Request) {
 	var reports []broker.CrashReport
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes)).Decode(&reports); err != nil {
+	body, err := limiter.ReadBody(r, maxReportBytes, time.Now().Add(reportTimeout))
+	if err != nil {
+		limiter.Abandon(w, r)
+	} else {
+		err = json.Unmarshal(body, &reports)
+	}
+	if err != nil {
 		http.Error(w, "could not read the crash reports", http.StatusBadRequest)
 		return
 	}
