Bound what requests in progress and connections to backend servers take

What callers saw: a host that was ended for its memory or had no descriptors left, while others sent complete searches that servers did not answer.

Cause: requests in progress were not limited, each with a goroutine, a head and perhaps a connection for each shard, and its body once more for each other zone; connections to backend servers were limited for each server, but not for the process.

Change: a request leases the memory of its attempts and copies before it starts and returns it with its last attempt; without room it is refused with 503, before its body is read if that is known by then. Requests that arrived with more than 32 KiB leave a quarter of the memory to others. Hosts that run delegations lease in the same way. dispatcher limits the connections to all servers; half are divided among the servers, so that none is without.

Ruled out: one limit of requests in progress (a search over 90 shards takes thirty times what a fetch does); a fixed share of the sockets for each server (the grown sites have more servers than that allows).

--- a/internal/broker/transport/dispatcher/dispatcher.go
+++ b/internal/broker/transport/dispatcher/dispatcher.go
@@ -25,11 +25,13 @@
 	// MaxBufferedBytes is the memory of all answers that are being received, in bytes. Faulty servers may send without
 	// end, many at once.
 	MaxBufferedBytes int64
+	// MaxConnections is the number of connections to all servers together; zero means no limit. Each server may have one.
+	MaxConnections int
 	// Dial opens TCP connections; nil selects a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// DefaultOptions returns the options for production on a host whose memory is not limited.
+// DefaultOptions returns the options for production on a host whose memory and sockets are not limited.
 func DefaultOptions() Options {
 	return Options{FirstByteTimeout: 500 * time.Millisecond, MaxAnswerBytes: 8 << 20, MaxBufferedBytes: 48 << 20}
 }
@@ -55,6 +57,7 @@
 	dial     dialFunc
 	counters *counters
 	budget   budget // of answers that are being received
+	sockets  sockets
 	pools    *holder.Holder[map[broker.ServerName]*pool]
 }
 
@@ -69,6 +72,7 @@
 		options: options,
 		dial:    options.Dial,
 		budget:  budget{limit: options.MaxBufferedBytes},
+		sockets: sockets{limit: options.MaxConnections},
 		counters: &counters{
 			opened:      set.GetOrCreateCounter("yuccarock_backend_connections_opened_total"),
 			closed:      set.GetOrCreateCounter("yuccarock_backend_connections_closed_total"),
@@ -82,6 +86,7 @@
 // SetTable sets the servers with their addresses and connection limits. Connections to servers that are no longer
 // listed are closed once idle.
 func (d *Dispatcher) SetTable(table *indexer.Table) {
+	d.sockets.divide(len(table.Config.Servers))
 	d.pools.Update(func(current *map[broker.ServerName]*pool) *map[broker.ServerName]*pool {
 		next := make(map[broker.ServerName]*pool, len(table.Config.Servers))
 		for i := range table.Config.Servers {
@@ -89,7 +94,7 @@
 			name := broker.ServerName(server.Name)
 			p := (*current)[name]
 			if p == nil {
-				p = &pool{dial: d.dial, counters: d.counters}
+				p = &pool{dial: d.dial, counters: d.counters, sockets: &d.sockets}
 			}
 			p.configure(server.Address, server.Connections)
 			next[name] = p
--- a/internal/broker/transport/dispatcher/pool.go
+++ b/internal/broker/transport/dispatcher/pool.go
@@ -30,11 +30,13 @@
 type pool struct {
 	dial     dialFunc
 	counters *counters
+	sockets  *sockets
 
 	mu           sync.Mutex
 	address      netip.AddrPort
 	limit        int // maximum of total
 	total        int // connections being dialed, open or being closed
+	shared       int // those of total that count as shared sockets
 	minIdle      int // idle connections to keep open; with zero, connections are not reused
 	openingIdle  int // idle connections being dialed
 	idle         []*conn
@@ -89,8 +91,7 @@
 			p.discard(c)
 			continue
 		}
-		if p.total < p.limit {
-			p.total++
+		if p.addConnection() {
 			address := p.address
 			p.mu.Unlock()
 			return p.openWithContext(ctx, address)
@@ -126,6 +127,22 @@
 	}
 }
 
+// addConnection adds a connection to total if the limits allow it; the caller holds mu.
+func (p *pool) addConnection() bool {
+	if p.total >= p.limit {
+		return false
+	}
+	allowed, shared := p.sockets.take(p.total - p.shared)
+	if !allowed {
+		return false
+	}
+	p.total++
+	if shared {
+		p.shared++
+	}
+	return true
+}
+
 // takeIdle removes and returns the most recently used idle connection, and opens a new idle connection in its place.
 func (p *pool) takeIdle(fresh bool) *conn {
 	if fresh || len(p.idle) == 0 {
@@ -232,6 +249,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.total--
+	if p.shared > 0 {
+		p.shared--
+		p.sockets.giveBack()
+	}
 	if !p.wakeWaiter() {
 		p.fillIdle()
 	}
@@ -265,8 +286,7 @@
 	if len(p.waiters) > 0 || time.Now().Before(p.redialAt) {
 		return
 	}
-	for len(p.idle)+p.openingIdle < p.minIdle && p.total < p.limit {
-		p.total++
+	for len(p.idle)+p.openingIdle < p.minIdle && p.addConnection() {
 		p.openingIdle++
 		go p.openIdle(p.address)
 	}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -37,6 +38,10 @@
 	if limit == 0 {
 		limit = defaultBodyLimit
 	}
+	if r.ContentLength <= limit && !f.fits(route, r.ContentLength) {
+		failure := bodyFailures[limiter.KindNoRoom]
+		return &failure
+	}
 	body, err := limiter.ReadBody(r, limit, started.Add(requestTimeout(request, route)))
 	if err != nil {
 		failure := broker.Failure{Kind: broker.FailureMalformed}
@@ -49,6 +54,30 @@
 	return nil
 }
 
+// lease reserves the memory of a request that is about to run.
+func (f *Forwarder) lease(
+	ctx context.Context, route *broker.Route, request *broker.OpaqueRequest,
+) (*accountant.Lease, error) {
+	return limiter.Lease(ctx, attempts(route), int64(len(request.Body))*f.copies(route))
+}
+
+// fits reports whether there may be memory for a request with a body of the given size, -1 if that is unknown.
+func (f *Forwarder) fits(route *broker.Route, size int64) bool {
+	size = max(size, 0)
+	return f.account.Fits(limiter.Needs(attempts(route))+size*(1+f.copies(route)), accountant.IsLarge(size))
+}
+
+// attempts returns the number of attempts that a request on a route begins with.
+func attempts(route *broker.Route) int { return max(1, len(route.Shards)) }
+
+// copies returns how often the body of a request is copied: each of the other zones gets it with a delegation.
+func (f *Forwarder) copies(route *broker.Route) int64 {
+	if !route.Scatter() {
+		return 0
+	}
+	return int64(max(len(f.settings.Zones)-1, 0))
+}
+
 // refuseUnread refuses a request whose body has not been read to its end, and closes its connection.
 func (f *Forwarder) refuseUnread(w http.ResponseWriter, r *http.Request, id string, failure broker.Failure) {
 	limiter.Abandon(w, r)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -143,7 +143,9 @@
 	// The attempt may outlive the caller's request by its grace.
 	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), s.deadline)
 	s.cancels[attemptKey{shard: sub.Shard, attempt: sub.Attempt}] = cancel
+	s.lease.Retain()
 	go func() {
+		defer s.lease.Release()
 		defer cancel()
 		s.inbox <- arrival{results: []attemptResult{s.attempt(attemptCtx, sub, to)}}
 	}()
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -11,6 +11,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/collator"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/delegator"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/limiter"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 )
 
@@ -23,6 +24,11 @@
 		return &Error{Op: "run a delegation", Kind: KindNotReady, Err: errors.New("the host is " + f.drainer.State())}
 	}
 	defer f.drainer.End()
+	lease, err := limiter.Lease(ctx, len(message.Servers), 0)
+	if err != nil {
+		return &Error{Op: "run a delegation", Kind: KindNotReady, Err: err}
+	}
+	defer lease.Release()
 	ctx, span := f.tracer.Start(tracer.WithTraceParent(ctx, message.TraceParent), "delegate.request",
 		attribute.Int("attempts", len(message.Servers)))
 	defer span.End()
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -91,7 +91,9 @@
 			d.fail()
 		}
 	})
+	s.lease.Retain()
 	go func() {
+		defer s.lease.Release()
 		defer cancel()
 		d.run(delegationCtx, message)
 	}()
@@ -152,7 +154,7 @@
 			continue
 		case !sent && !cancelled:
 			a.to.server.ExchangeDiscarded(d.sent)
-			go d.attemptDirectly(a)
+			d.startDirectly(a)
 			continue
 		case d.answered && cancelled:
 			// A host that passed on other results reached this server too, or would have reported that it could not.
@@ -176,6 +178,15 @@
 	}
 }
 
+// startDirectly starts an attempt of the delegation at this host.
+func (d *delegation) startDirectly(a *delegatedAttempt) {
+	d.session.lease.Retain()
+	go func() {
+		defer d.session.lease.Release()
+		d.attemptDirectly(a)
+	}()
+}
+
 // attemptDirectly makes one attempt of the delegation by an exchange of this host.
 func (d *delegation) attemptDirectly(a *delegatedAttempt) {
 	ctx, cancel := context.WithDeadline(a.ctx, d.session.deadline)
@@ -202,7 +213,7 @@
 		if part.Outcome == broker.OutcomeNotRun && part.Reason == broker.ReasonNoReplica {
 			// The host does not know the server.
 			a.to.server.ExchangeDiscarded(d.sent)
-			go d.attemptDirectly(a)
+			d.startDirectly(a)
 			continue
 		}
 		arrived.results = append(arrived.results, d.evaluate(a, part, part.Latency+overhead))
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -89,11 +89,18 @@
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNoReplica, RetryAfter: noServerRetry})
 		return
 	}
+	lease, err := f.lease(r.Context(), entry.Route, request)
+	if err != nil {
+		f.refuse(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonOverloaded, RetryAfter: noServerRetry})
+		return
+	}
+	defer lease.Release()
 	ctx, span := f.tracer.Start(r.Context(), "entry.request", attribute.String("route", entry.Name))
 	defer span.End()
 	session := &session{
 		forwarder: f, view: view, route: entry.Route, kind: kind, request: request,
-		started: started, deadline: deadline,
+		started: started, deadline: deadline, lease: lease,
 	}
 	session.answer(ctx, w)
 	span.SetAttributes(attribute.String("result", session.result))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -159,6 +159,7 @@
 	options.Dial = deps.Dial
 	shares := deps.Settings.Shares()
 	options.LimitMemory(shares.Answers)
+	options.MaxConnections = shares.Backends
 	f.account = accountant.New(shares, f.evicted)
 	f.dispatcher = dispatcher.New(options, f.set)
 	f.registrar = registrar.New(f.tracker, f.dispatcher, deps.Settings.Zone, deps.Settings.Zones)
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
+	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
 	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
 )
 
@@ -55,6 +56,7 @@
 	request   *broker.OpaqueRequest
 	started   time.Time
 	deadline  time.Time
+	lease     *accountant.Lease
 
 	scatter        *scatterer.Session
 	inbox          chan arrival
