Close connections whose callers leave answers unread

What callers saw: nothing of a host any more, once others held all its connections with answers that they did not read.

Cause: sending an answer had no time-out, and nothing told such a connection from one with a request in progress.

The answer's bytes count in the request's lease until it has been sent; they are taken also beyond the limit, as an answer that is ready is delivered.

--- a/internal/broker/transport/limiter/conn.go
+++ b/internal/broker/transport/limiter/conn.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// writeTimeout is how long the client may leave an answer unread before its connection is closed. Callers give up earlier.
+	writeTimeout = 60 * time.Second
 	// lingerTimeout and maxLingerBytes limit how long, and up to how many bytes, the rest of a refused body is read and
 	// dropped. Closing a connection with unread bytes would reset it, and the client could not read the answer.
 	lingerTimeout  = 500 * time.Millisecond
@@ -72,6 +74,12 @@
 	return len(data)
 }
 
+// Write fails if the client does not read for too long.
+func (c *conn) Write(data []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+	return c.entry.Answering(func() (int, error) { return c.Conn.Write(data) })
+}
+
 // SetReadDeadline has no effect once the connection has been interrupted.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
--- a/internal/broker/transport/limiter/limiter_test.go
+++ b/internal/broker/transport/limiter/limiter_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +26,6 @@
 type endpoint struct {
 	address string
 	account *accountant.Account
-	bodies  atomic.Int64 // requests whose body was complete
 	timeout time.Duration
 }
 
@@ -55,7 +53,10 @@
 		http.Error(w, string(cause.Kind), http.StatusTeapot)
 		return
 	}
-	e.bodies.Add(1)
+	if r.URL.Path == "/large" {
+		_, _ = w.Write(make([]byte, 64<<20)) // more than the buffers of a connection
+		return
+	}
 	_, _ = fmt.Fprint(w, len(body))
 }
 
@@ -202,3 +203,24 @@
 		t.Error("the connection that was idle for longest: got a byte, want its end")
 	}
 }
+
+// TestUnreadAnswerGivesWay guards against callers that keep others out by not reading their answers.
+func TestUnreadAnswerGivesWay(t *testing.T) {
+	e := newEndpoint(t, accountant.Shares{Requests: 1 << 20, Inbound: 1}, testTimeout)
+	c, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for end := time.Now().Add(testTimeout); len(got) == 0 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		got = e.exchange(t, post("Content-Length: 2\r\n", "bb"))
+	}
+	if len(got) != 1 || got[0] != "200 2" {
+		t.Errorf("answers to another caller: got %q, want \"200 2\"", got)
+	}
+}
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -188,6 +188,7 @@
 // write sends the answer to the caller.
 func (s *session) write(w http.ResponseWriter) {
 	f := s.forwarder
+	s.extendLease()
 	complete := s.final.Status == broker.StatusComplete || s.final.Status == broker.StatusPartial
 	s.result = string(s.final.Status)
 	if s.route.Scatter() && !s.callerGone && s.final.Reason != broker.ReasonLimited {
@@ -220,6 +221,16 @@
 	}
 }
 
+// extendLease adds the answer of a backend server, which is held until the caller has read it.
+func (s *session) extendLease() {
+	if s.lastFailure != nil {
+		s.lease.Extend(int64(len(s.lastFailure.Body)))
+	}
+	for _, part := range s.scatter.Parts() {
+		s.lease.Extend(int64(len(part.Body)))
+	}
+}
+
 // abortConnection closes the connection of a caller without an answer.
 func abortConnection(w http.ResponseWriter) {
 	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
