--- a/internal/broker/state/accountant/connection.go
+++ b/internal/broker/state/accountant/connection.go
@@ -73,7 +73,7 @@
 
 	state   atomic.Uint64
 	bytes   atomic.Int64 // memory held
-	head    int64        // bytes of the head received
+	head    atomic.Int64 // bytes of the head received
 	leaving int64        // part of account.leaving, guarded by account.mu
 }
 
@@ -111,16 +111,16 @@
 	default:
 		return nil
 	}
-	before := max(c.head, freeHeadBytes)
-	c.head += int64(bytes)
-	if c.head <= before {
+	head := c.head.Add(int64(bytes))
+	counted := max(head-int64(bytes), freeHeadBytes)
+	if head <= counted {
 		return nil
 	}
-	return c.Grow(headFactor * (c.head - before))
+	return c.Grow(headFactor * (head - counted))
 }
 
 // HeadBytes returns how many bytes of a head were received.
-func (c *Connection) HeadBytes() int64 { return c.head }
+func (c *Connection) HeadBytes() int64 { return c.head.Load() }
 
 // Grow reserves memory for a request that is arriving. It fails with KindEvicted if the connection has to give way to others, and with
 // KindFull if there is no room.
@@ -184,7 +184,7 @@
 
 // releaseAll returns all memory.
 func (c *Connection) releaseAll() {
-	c.head = 0
+	c.head.Store(0)
 	if held := c.bytes.Swap(0); held != 0 {
 		c.account.release(held)
 	}
--- a/internal/broker/transport/limiter/conn.go
+++ b/internal/broker/transport/limiter/conn.go
@@ -34,11 +34,11 @@
 
 	entry     *accountant.Connection
 	abandoned atomic.Bool // a part of a body is left that must not be read as a request
+	handled   atomic.Bool // the handler of the last request has returned
+	closing   atomic.Bool
 
 	mu          sync.Mutex
 	interrupted bool
-	closeOnce   sync.Once
-	closeErr    error
 }
 
 // connKey is the context key of the connection of a request.
@@ -76,7 +76,7 @@
 
 // Write fails if the client does not read for too long.
 func (c *conn) Write(data []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
 	return c.entry.Answering(func() (int, error) { return c.Conn.Write(data) })
 }
 
@@ -101,16 +101,18 @@
 // closeNow closes the socket at once; its owner closes the connection once it notices.
 func (c *conn) closeNow() { _ = c.Conn.Close() }
 
-// Close closes the connection, after the client has had the time to read the answer to an abandoned request.
+// Close closes the connection, after the client has had the time to read the answer to an abandoned request. A second Close, of
+// a server that is being closed, ends that time.
 func (c *conn) Close() error {
-	c.closeOnce.Do(func() {
-		if c.abandoned.Load() {
-			c.linger()
-		}
-		c.closeErr = c.Conn.Close()
-		c.entry.Close()
-	})
-	return c.closeErr
+	if !c.closing.CompareAndSwap(false, true) {
+		return c.Conn.Close()
+	}
+	if c.abandoned.Load() && c.handled.Load() {
+		c.linger()
+	}
+	err := c.Conn.Close()
+	c.entry.Close()
+	return err
 }
 
 // linger ends the sending side and drops what the client still sends.
--- a/internal/broker/transport/limiter/handler.go
+++ b/internal/broker/transport/limiter/handler.go
@@ -15,7 +15,11 @@
 		if c.entry.Begin() != nil {
 			panic(http.ErrAbortHandler) // the connection is being closed, and the request has not run
 		}
-		defer c.entry.End()
+		c.handled.Store(false)
+		defer func() {
+			c.handled.Store(true)
+			c.entry.End()
+		}()
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -9,6 +9,8 @@
 
 	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
+	"github.com/yuccarock/yuccarock/internal/broker/state/registrar"
+	"github.com/yuccarock/yuccarock/internal/broker/state/router"
 	"github.com/yuccarock/yuccarock/internal/broker/transport/limiter"
 )
 
@@ -29,6 +31,38 @@
 	limiter.KindMalformed: {Kind: broker.FailureMalformed},
 }
 
+// receive reads the body of a request, and returns the view and the route that apply once it has arrived. Without them, the
+// request has been refused.
+func (f *Forwarder) receive(
+	w http.ResponseWriter, r *http.Request, request *broker.OpaqueRequest, started time.Time,
+) (*registrar.View, *router.Entry) {
+	view := f.registrar.View()
+	if view == nil {
+		f.refuseUnread(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: notReadyRetry})
+		return nil, nil
+	}
+	if f.isolated() && !f.isolation.allowTrial(started) {
+		f.refuseUnread(w, r, request.ID,
+			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonIsolated, RetryAfter: leavingRetry})
+		return nil, nil
+	}
+	entry := view.Routes.Match(request.Host, request.Path)
+	if entry == nil {
+		f.refuseUnread(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
+		return nil, nil
+	}
+	if failure := f.readBody(r, request, view.Catalog.Limits, entry.Route, started); failure != nil {
+		f.refuseUnread(w, r, request.ID, *failure)
+		return nil, nil
+	}
+	view = f.registrar.View() // a slow body takes seconds, in which servers leave
+	if entry = view.Routes.Match(request.Host, request.Path); entry == nil {
+		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
+	}
+	return view, entry
+}
+
 // readBody reads the whole body, because it may have to be sent to several servers, while the request could be answered in
 // time.
 func (f *Forwarder) readBody(
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -46,29 +46,8 @@
 		return
 	}
 	defer f.drainer.End()
-	view := f.registrar.View()
-	if view == nil {
-		f.refuseUnread(w, r, request.ID,
-			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNotReady, RetryAfter: notReadyRetry})
-		return
-	}
-	if f.isolated() && !f.isolation.allowTrial(started) {
-		f.refuseUnread(w, r, request.ID,
-			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonIsolated, RetryAfter: leavingRetry})
-		return
-	}
-	entry := view.Routes.Match(request.Host, request.Path)
+	view, entry := f.receive(w, r, request, started)
 	if entry == nil {
-		f.refuseUnread(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
-		return
-	}
-	if failure := f.readBody(r, request, view.Catalog.Limits, entry.Route, started); failure != nil {
-		f.refuseUnread(w, r, request.ID, *failure)
-		return
-	}
-	view = f.registrar.View() // a slow body takes seconds, in which servers leave
-	if entry = view.Routes.Match(request.Host, request.Path); entry == nil {
-		f.refuse(w, r, request.ID, broker.Failure{Kind: broker.FailureNoRoute})
 		return
 	}
 	if f.quarantine.isQuarantined(request, entry.Route) {
