Keep connections for status checks, look-ups and other hosts

What callers would see: callers with requests in progress on all inbound connections of a host keep status checks and other hosts out, which then take the host for gone and send everyone elsewhere.

Change: callers get seven eighths of the inbound connections at most, and give way among themselves beyond that.

Evidence: TestCallersLeaveConnections needs a connection of another host accepted beside callers that hold all of theirs.

--- a/internal/broker/state/accountant/account.go
+++ b/internal/broker/state/accountant/account.go
@@ -18,12 +18,16 @@
 
 	mu          sync.Mutex
 	connections map[*Connection]struct{}
+	callers     int   // connections of callers
 	leaving     int64 // memory of evicted connections that they have not released yet
 }
 
 const (
 	// leavingPart is the divisor of the memory that evicted connections may have until they notice.
 	leavingPart = 4
+	// othersPart is the divisor of the connections that are never for callers: status checks, look-ups and other hosts get in
+	// although callers have requests in progress on all of theirs.
+	othersPart = 8
 	// smallPart is the divisor of the memory that large requests in progress leave to others.
 	smallPart = 4
 	// progressTime is how long a request may take to arrive without giving way to others that are arriving.
@@ -58,22 +62,33 @@
 // now returns the time since the account was created. The time of day may jump.
 func (a *Account) now() time.Duration { return time.Since(a.createdAt) }
 
-// Open adds a connection. If there are too many, the one that has made no progress for longest is closed; without such a
-// connection, Open fails with KindFull. Interrupt has to end the reads of the connection, and closeNow to close it.
-func (a *Account) Open(interrupt, closeNow func()) (*Connection, error) {
+// Open adds a connection of a caller or of another client. If there are too many, the one that has made no progress for longest is
+// closed; without such a connection, Open fails with KindFull. Interrupt has to end the reads of the connection, and closeNow to
+// close it.
+func (a *Account) Open(caller bool, interrupt, closeNow func()) (*Connection, error) {
 	now := a.now()
-	c := &Connection{account: a, interrupt: interrupt, closeNow: closeNow}
+	c := &Connection{account: a, caller: caller, interrupt: interrupt, closeNow: closeNow}
 	c.state.Store(uint64(newState(PhaseIdle, now)))
 	a.mu.Lock()
+	by := rank(nil)
+	switch {
+	case caller && a.callers >= a.sockets-a.sockets/othersPart:
+		by = rankCallersByAge
+	case len(a.connections) >= a.sockets:
+		by = rankByAge
+	}
 	var victim *Connection
-	if len(a.connections) >= a.sockets {
-		if victim = a.evict(rankByAge, now); victim == nil {
+	if by != nil {
+		if victim = a.evict(by, now); victim == nil {
 			a.mu.Unlock()
 			return nil, &Error{Op: "open a connection", Kind: KindFull}
 		}
-		delete(a.connections, victim)
+		a.forget(victim)
 	}
 	a.connections[c] = struct{}{}
+	if caller {
+		a.callers++
+	}
 	a.mu.Unlock()
 	if victim != nil {
 		victim.closeNow()
@@ -96,6 +111,14 @@
 	return age
 }
 
+// rankCallersByAge is rankByAge without connections that are not of callers.
+func rankCallersByAge(c *Connection, current state, now time.Duration) float64 {
+	if !c.caller {
+		return 0
+	}
+	return rankByAge(c, current, now)
+}
+
 // rankByUse prefers those that have held most memory for longest.
 func rankByUse(c *Connection, current state, now time.Duration) float64 {
 	return float64(c.bytes.Load()) * current.age(now).Seconds()
@@ -197,7 +220,18 @@
 func (a *Account) remove(c *Connection) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.forget(c)
+}
+
+// forget removes a connection; the caller holds mu.
+func (a *Account) forget(c *Connection) {
+	if _, ok := a.connections[c]; !ok {
+		return
+	}
 	delete(a.connections, c)
+	if c.caller {
+		a.callers--
+	}
 }
 
 // settle records that an evicted connection has released its memory.
--- a/internal/broker/state/accountant/accountant_test.go
+++ b/internal/broker/state/accountant/accountant_test.go
@@ -20,7 +20,7 @@
 func open(t *testing.T, account *Account) *closable {
 	t.Helper()
 	c := &closable{}
-	entry, err := account.Open(func() { c.interrupted = true }, func() { c.closed = true })
+	entry, err := account.Open(false, func() { c.interrupted = true }, func() { c.closed = true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +72,7 @@
 					enter(opened[i].Connection)
 					time.Sleep(3 * time.Second)
 				}
-				_, err := account.Open(func() {}, func() {})
+				_, err := account.Open(false, func() {}, func() {})
 				check(t, "refused", kindOf(err) == KindFull, tt.want < 0)
 				for i, c := range opened {
 					check(t, "closed", c.closed, i == tt.want)
@@ -99,6 +99,28 @@
 	_ = c.enter(PhaseAnswering)
 }
 
+// TestCallersLeaveConnections guards against a host that other hosts take for gone, because callers have requests in progress on all
+// of its connections.
+func TestCallersLeaveConnections(t *testing.T) {
+	const sockets = 2 * othersPart
+	account := New(Shares{Requests: 1 << 20, Inbound: sockets}, ignore)
+	openAs := func(caller bool) error {
+		c, err := account.Open(caller, func() {}, func() {})
+		if err == nil {
+			run(c)
+		}
+		return err
+	}
+	for range sockets - sockets/othersPart {
+		check(t, "caller", openAs(true), nil)
+	}
+	check(t, "one caller more", kindOf(openAs(true)), KindFull)
+	for range sockets / othersPart {
+		check(t, "another host", openAs(false), nil)
+	}
+	check(t, "one host more", kindOf(openAs(false)), KindFull)
+}
+
 // TestEvictedRequestDoesNotRun guards against a request that runs although its connection has been closed for others.
 func TestEvictedRequestDoesNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/broker/state/accountant/connection.go
+++ b/internal/broker/state/accountant/connection.go
@@ -69,6 +69,7 @@
 // Connection is the account of one inbound connection. Other than by an eviction, only its owner changes its phase.
 type Connection struct {
 	account             *Account
+	caller              bool
 	interrupt, closeNow func()
 
 	state   atomic.Uint64
--- a/internal/broker/transport/limiter/limiter_test.go
+++ b/internal/broker/transport/limiter/limiter_test.go
@@ -39,7 +39,9 @@
 		address: socket.Addr().String(), account: accountant.New(shares, func(accountant.Eviction) {}), timeout: timeout,
 	}
 	server := &http.Server{Handler: Handler(http.HandlerFunc(e.serve)), ConnContext: ConnContext, ReadHeaderTimeout: testTimeout}
-	go func() { _ = server.Serve(NewListener(socket, e.account, metrics.NewSet().NewCounter("refused"))) }()
+	go func() {
+		_ = server.Serve(NewListener(socket, e.account, false, metrics.NewSet().NewCounter("refused")))
+	}()
 	t.Cleanup(func() { _ = server.Close() })
 	return e
 }
--- a/internal/broker/transport/limiter/listener.go
+++ b/internal/broker/transport/limiter/listener.go
@@ -37,12 +37,14 @@
 	net.Listener
 
 	account *accountant.Account
+	callers bool
 	refused *metrics.Counter
 }
 
-// NewListener returns a listener over another one; refused counts the connections that there was no room for.
-func NewListener(inner net.Listener, account *accountant.Account, refused *metrics.Counter) *Listener {
-	return &Listener{Listener: inner, account: account, refused: refused}
+// NewListener returns a listener for callers or for other clients over another one; refused counts the connections that there was
+// no room for.
+func NewListener(inner net.Listener, account *accountant.Account, callers bool, refused *metrics.Counter) *Listener {
+	return &Listener{Listener: inner, account: account, callers: callers, refused: refused}
 }
 
 // Accept returns the next connection that there is room for and closes the others.
@@ -53,7 +55,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: accepted}
-		if c.entry, err = l.account.Open(c.interrupt, c.closeNow); err == nil {
+		if c.entry, err = l.account.Open(l.callers, c.interrupt, c.closeNow); err == nil {
 			return c, nil
 		}
 		l.refused.Inc()
--- a/internal/forwarder/servers.go
+++ b/internal/forwarder/servers.go
@@ -36,7 +36,7 @@
 		ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
 	}
 	return &listeningServer{
-		Server: server, listener: limiter.NewListener(listener, f.account, f.meters.connectionsRefused),
+		Server: server, listener: limiter.NewListener(listener, f.account, address == f.settings.Entry, f.meters.connectionsRefused),
 	}, nil
 }
 
