--- a/internal/broker/state/accountant/accountant_test.go
+++ b/internal/broker/state/accountant/accountant_test.go
@@ -156,7 +156,9 @@
 		check(t, "evicted", evicted[0], Eviction{Phase: PhaseBody, Age: time.Second, Bytes: 350 << 10})
 		check(t, "large interrupted", large.interrupted, true)
 		check(t, "small interrupted", small.interrupted, false)
+		check(t, "leaving", account.leaving, 350<<10)
 		large.Refuse()
+		check(t, "leaving once it has noticed", account.leaving, 0)
 		check(t, "used", account.Used(), 150<<10)
 		check(t, "phase", large.Phase(), PhaseClosing)
 		large.Close()
@@ -164,6 +166,23 @@
 	})
 }
 
+// TestEvictionsWaitForMemory guards against memory that is given out faster than those that gave way release theirs.
+func TestEvictionsWaitForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		account := New(testShares, ignore)
+		first, second, third := open(t, account), open(t, account), open(t, account)
+		for _, c := range []*closable{first, second} {
+			body(c.Connection)
+			check(t, "stopped", c.Grow(200<<10), nil)
+		}
+		time.Sleep(time.Second)
+		body(third.Connection)
+		check(t, "in place of one", third.Grow(200<<10), nil)
+		check(t, "in place of another", kindOf(third.Grow(200<<10)), KindFull)
+		check(t, "used", account.Used(), 600<<10)
+	})
+}
+
 // TestArrivingBodiesKeepTheirMemory guards against a crowd that comes back at once, of which none completes because each takes
 // the memory of another.
 func TestArrivingBodiesKeepTheirMemory(t *testing.T) {
@@ -245,6 +264,8 @@
 			c.End()
 			check(t, "used at the end", account.Used(), 0)
 			check(t, "phase", c.Phase(), PhaseIdle)
+			check(t, "next head", c.Received(freeHeadBytes), nil)
+			check(t, "used with the next head", account.Used(), 0)
 		})
 	}
 }
