Listen without multipath TCP

Cause: net.ListenConfig accepts multipath TCP where the system has it, net.ListenTCP, which listened before, does not. Such a connection has the receive buffers of all its paths, so that the buffer set for it would not bound what it holds unread. Found by reading; no run showed it.

Change: it is switched off, as before the buffer was set.

--- a/internal/broker/transport/limiter/listener.go
+++ b/internal/broker/transport/limiter/listener.go
@@ -20,6 +20,8 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, accountant.ReceiveBuffer)
 		})
 	}}
+	// A connection over several paths has the buffers of each of them.
+	config.SetMultipathTCP(false)
 	socket, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address.String(), Kind: KindListen, Err: err}
