Pass no server's failure on that tells callers their request did not run

Callers saw: 503 for reports that had been applied. A server fails a share of what it has run with 503, its signature and no X-Not-Executed.

Cause: to a server's answer only the mark gives the guarantee, to a caller the statuses 408, 421, 429 and 503 do. Codec.Classify took an unmarked 503 correctly for a failure that may have run, and session.write then sent it with its status. Unmarked 408 and 429 passed for successful answers, so that they were not even retried; a 421 that a server had signed counted as not run, so that a request that must run once was sent to the next server.

Evidence: the line on the request has result serverFailed, sent 1: the answer of the server was passed on, it was no refusal of the host's own. Neither log nor metrics had its status; attempts in the log and yuccarock_server_failures_total have it now.

Change: unmarked answers with these statuses are failures with the reason unmarkedRefusal. They are retried like other failures where the route allows it, and never written to a caller, who gets 502 without a signature. This holds on each way to a caller because it is decided where the one last failure for the caller is kept. All other answers are passed on unchanged.

Ruled out: the same answer with another status (a failure with a server's signature has to keep the status that the server gave); only for requests that must run once (the guarantee is given to every caller). Read and found sound: refusals of the host itself, delegated attempts, status 503 of serve.

TestUnmarkedRefusalOfOneShard, TestMarkedRefusals and TestFailuresUnchanged passed before: they hold what must not change.

--- a/internal/broker/outcome.go
+++ b/internal/broker/outcome.go
@@ -58,6 +58,9 @@
 	ReasonNotReady        Reason = "notReady"     // the node has no configuration yet
 	ReasonIsolated        Reason = "isolated"     // the node cannot reach the store, other nodes or servers
 	ReasonBackendError    Reason = "backendError"
+	// ReasonUnmarkedRefusal is that of a server's answer with a status that means "not run" to callers, which does not state
+	// that the request did not run.
+	ReasonUnmarkedRefusal Reason = "unmarkedRefusal"
 	ReasonNoReplica       Reason = "noReplica"
 	ReasonBudget          Reason = "retryBudget"
 	ReasonDuplicate       Reason = "duplicate"
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -114,6 +114,9 @@
 	if part && result.Outcome == broker.OutcomeAnswered && reply.Answer.Status/100 != 2 {
 		result.Classification = broker.Classification{Outcome: broker.OutcomeFailed, Reason: broker.ReasonBackendError}
 	}
+	if result.Outcome == broker.OutcomeFailed {
+		f.meters.serverFailed(reply.Answer.Status)
+	}
 	if result.Reason != broker.ReasonMoved && result.Reason != broker.ReasonMismatch {
 		result.notice = f.readNotice(to, reply.Answer, sent)
 	}
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -59,6 +59,11 @@
 	bytes.received.Add(received)
 }
 
+// serverFailed counts an answer of a server that ran a request, or may have run it, and did not succeed.
+func (m *meters) serverFailed(status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccarock_server_failures_total{status="%d"}`, status)).Inc()
+}
+
 // requestEnded records the result and duration of one request.
 func (m *meters) requestEnded(route, result string, elapsed time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_requests_total{route=%q,result=%q}", route, result)).Inc()
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -64,7 +64,7 @@
 	timer          *time.Timer
 	final          *broker.Answer
 	parts          partSet              // of a scatter
-	lastFailure    *broker.OpaqueAnswer // last failure answer of a backend server
+	lastFailure    *broker.OpaqueAnswer // last failure answer of a backend server that callers may get
 	failedAttempts []any                // attempts without a successful answer, for the log
 	callerGone     bool
 	answered       atomic.Bool // whether a server has answered an attempt
@@ -169,7 +169,7 @@
 
 // recordResult keeps the result of an attempt without a successful answer for the answer to the caller and the log.
 func (s *session) recordResult(ended *attemptResult) {
-	if ended.answer.Outcome == broker.OutcomeFailed {
+	if ended.answer.Outcome == broker.OutcomeFailed && ended.answer.Reason != broker.ReasonUnmarkedRefusal {
 		s.lastFailure = ended.opaque
 	}
 	if ended.answer.Outcome == broker.OutcomeAnswered {
@@ -179,10 +179,14 @@
 	if !ended.sent.IsZero() {
 		elapsed = time.Since(ended.sent)
 	}
-	s.failedAttempts = append(s.failedAttempts, map[string]any{
+	attempt := map[string]any{
 		"shard": ended.answer.Shard, "server": ended.answer.Server, "attempt": ended.answer.Attempt,
 		"outcome": ended.answer.Outcome.String(), "reason": ended.answer.Reason, "ms": elapsed.Milliseconds(),
-	})
+	}
+	if ended.opaque != nil {
+		attempt["status"] = ended.opaque.Status
+	}
+	s.failedAttempts = append(s.failedAttempts, attempt)
 }
 
 // write sends the answer to the caller.
