dispatcher: keep the dispatcher of TestLateCopies in use until it is judged

Cause: in the fixture. After the second request nothing refers to the dispatcher any more, so that the garbage collector closes its idle connection if it runs within the 20 ms of the wait. With a runtime.GC() before the wait, all three subtests that want the connection open failed in 20 of 20 runs; with runtime.KeepAlive after the wait, none. The check and its bounds are unchanged.

--- a/internal/broker/transport/dispatcher/copy_test.go
+++ b/internal/broker/transport/dispatcher/copy_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -114,6 +115,8 @@
 			if got := receives(closed, wait); got != tt.wantClosed {
 				t.Errorf("connection closed: got %t, want %t", got, tt.wantClosed)
 			}
+			// The garbage collector closes the idle connections of a dispatcher that is no longer used.
+			runtime.KeepAlive(d)
 		})
 	}
 	t.Run("status", func(t *testing.T) {
