Identify a route by its host and prefix, not by its name

Callers saw: reports answered 200 by a service that their route does not name, each applied once in every service of another route, and searches answered with one part of a service that is none of their shards.

Cause: the requests of a route to a service form a request kind whose key was name + "/" + service, and the name alone for a search. Of two equal keys the table keeps the last, with its shards and its type. Equal names on different hosts collided too.

Evidence: matching and decoding were sound; "configuration in force" counted two routes and five services.

Change: the key has the host, the prefix and the service, each quoted, so that no two routes share one. Metrics of requests are labelled with host and prefix beside the name, with the escapes of the metrics' format in place of those of Go, and names above 128 bytes are shortened there and in the log.

Before the change TestNamesOfRoutes failed (report: got status 200 with signature "i-s1.c7", want 200 of i-intake; search: parts "i-intake.c20"), and six cases of TestKindsOfRoutes ("route "reports" ...: got services ["s1" "s2"], idempotent true; want ["intake"], false").

--- a/internal/broker/state/indexer/table.go
+++ b/internal/broker/state/indexer/table.go
@@ -110,6 +110,9 @@
 // Kind returns the named request kind, or nil.
 func (t *Table) Kind(name string) *configurator.RequestKind { return t.kinds[name] }
 
+// KindCount returns the number of request kinds, of which those with equal names count once.
+func (t *Table) KindCount() int { return len(t.kinds) }
+
 // ZoneOut reports whether the availability zone is out of service or unknown.
 func (t *Table) ZoneOut(name string) bool {
 	zone := t.zones[name]
--- a/internal/broker/state/registrar/registrar.go
+++ b/internal/broker/state/registrar/registrar.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,12 +48,14 @@
 	Locality map[string]int
 }
 
-// KindName returns the request kind of a route's requests to a service, or of its scatters if service is empty.
-func KindName(route, service string) string {
-	if service == "" {
-		return route
+// KindName returns the request kind of a route's requests to a service, or of its scatters if service is empty. A host and a
+// prefix identify a route; its name does not, and any string may be a part of another.
+func KindName(route *broker.Route, service string) string {
+	quoted := make([]byte, 0, len(route.Host)+len(route.Prefix)+len(service)+len(`""""""`))
+	for _, part := range []string{route.Host, route.Prefix, service} {
+		quoted = strconv.AppendQuote(quoted, part)
 	}
-	return route + "/" + service
+	return string(quoted)
 }
 
 // Sink receives the addresses and connection limits of the servers in use.
@@ -461,11 +464,11 @@
 		config.RequestKinds = append(config.RequestKinds, kind)
 	}
 	if route.Scatter() {
-		add(KindName(route.Name, ""), route.Shards)
+		add(KindName(route, ""), route.Shards)
 		return
 	}
 	for _, target := range route.Targets {
-		add(KindName(route.Name, target.Service), []string{target.Service})
+		add(KindName(route, target.Service), []string{target.Service})
 	}
 }
 
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -88,13 +88,13 @@
 // requestKind returns the request kind of the next request of a route, or false if no target takes it.
 func requestKind(entry *router.Entry) (string, bool) {
 	if entry.Scatter() {
-		return registrar.KindName(entry.Name, ""), true
+		return registrar.KindName(entry.Route, ""), true
 	}
 	target := entry.Next()
 	if target == nil {
 		return "", false
 	}
-	return registrar.KindName(entry.Name, target.Service), true
+	return registrar.KindName(entry.Route, target.Service), true
 }
 
 // requestTimeout returns how long this host may take for a request.
@@ -111,7 +111,7 @@
 
 // refuse answers a request that was not sent to any backend server.
 func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, id string, failure broker.Failure) {
-	f.meters.requestEnded("", string(failure.Reason), 0)
+	f.meters.requestEnded(nil, string(failure.Reason), 0)
 	if skipped, ok := f.requestLogLimiter.Allow(time.Now()); ok {
 		var version broker.Revision
 		if view := f.registrar.View(); view != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -272,7 +272,8 @@
 	for _, item := range update.Items {
 		if f.registrar.Adopt(item.Value) {
 			f.logger.Info("configuration in force", "version", item.Value.Version, "revision", item.Revision,
-				"routes", len(item.Value.Routes), "services", len(item.Value.Services))
+				"routes", len(item.Value.Routes), "requestKinds", f.registrar.View().Tracked.Table.KindCount(),
+				"services", len(item.Value.Services))
 		}
 	}
 }
--- a/internal/forwarder/meters.go
+++ b/internal/forwarder/meters.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
+	"github.com/yuccarock/yuccarock/internal/broker"
 	"github.com/yuccarock/yuccarock/internal/broker/coordination/scatterer"
 )
 
@@ -64,8 +67,35 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccarock_server_failures_total{status="%d"}`, status)).Inc()
 }
 
-// requestEnded records the result and duration of one request.
-func (m *meters) requestEnded(route, result string, elapsed time.Duration) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_requests_total{route=%q,result=%q}", route, result)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf("yuccarock_request_seconds{route=%q}", route)).Update(elapsed.Seconds())
+// requestEnded records the result and duration of one request. Route is nil for a request that was refused.
+func (m *meters) requestEnded(route *broker.Route, result string, elapsed time.Duration) {
+	labels := `route=""`
+	if route != nil {
+		labels = routeLabels(route)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccarock_requests_total{%s,result=%q}", labels, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("yuccarock_request_seconds{%s}", labels)).Update(elapsed.Seconds())
+}
+
+// routeLabels returns the labels of a route's metrics. Routes of different hosts may have equal names.
+func routeLabels(route *broker.Route) string {
+	return "route=" + labelValue(route.Name) + ",host=" + labelValue(route.Host) + ",prefix=" + labelValue(route.Prefix)
+}
+
+// labelEscaper escapes what the text format of metrics escapes in the values of labels, and nothing else.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// labelValue returns a name of the configuration as the quoted value of a label.
+func labelValue(name string) string { return `"` + labelEscaper.Replace(shortName(name)) + `"` }
+
+// maxNameBytes is the maximum size in bytes of a name of the configuration in metrics and logs.
+const maxNameBytes = 128
+
+// shortName returns a name, or for one above maxNameBytes its beginning and a hash that tells it from others.
+func shortName(name string) string {
+	if len(name) <= maxNameBytes {
+		return name
+	}
+	hash := fmt.Sprintf("~%016x", xxhash.Sum64String(name))
+	return strings.ToValidUTF8(name[:maxNameBytes-len(hash)], "") + hash
 }
--- a/internal/forwarder/session.go
+++ b/internal/forwarder/session.go
@@ -87,7 +87,7 @@
 		Deadline: s.deadline,
 	}, s.started)
 	if err != nil {
-		f.logger.Error("could not plan a request", "id", s.request.ID, "route", s.route.Name, "error", err)
+		f.logger.Error("could not plan a request", "id", s.request.ID, "route", shortName(s.route.Name), "error", err)
 		f.codec.WriteError(w,
 			broker.Failure{Kind: broker.FailureNotRun, Reason: broker.ReasonNoReplica, RetryAfter: noServerRetry})
 		return
@@ -101,7 +101,7 @@
 	f.meters.addAttempts(s.scatter.Stats())
 	s.write(w)
 	elapsed := time.Since(s.started)
-	f.meters.requestEnded(s.route.Name, s.result, elapsed)
+	f.meters.requestEnded(s.route, s.result, elapsed)
 	s.log(elapsed)
 }
 
@@ -262,7 +262,8 @@
 		return
 	}
 	stats := s.scatter.Stats()
-	s.forwarder.logger.Info("request", "id", s.request.ID, "route", s.route.Name, "version", s.view.Catalog.Version,
+	s.forwarder.logger.Info("request", "id", s.request.ID, "route", shortName(s.route.Name), "host", shortName(s.route.Host),
+		"prefix", shortName(s.route.Prefix), "version", s.view.Catalog.Version,
 		"result", s.result, "reason", s.final.Reason, "ms", elapsed.Milliseconds(),
 		"targetMs", s.route.LatencyTarget.Milliseconds(), "patienceMs", s.deadline.Sub(s.started).Milliseconds(),
 		"shards", s.final.Coverage.ShardsTotal, "answered", s.final.Coverage.ShardsAnswered,
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -85,7 +85,7 @@
 		View: h.registrar.View().Tracked, Random: h.random,
 		Strategy: scatterer.NewStrategy(route, sim.scenario.Zones[h.zone], h.budgets),
 	}, scatterer.Request{
-		Query: broker.Query{RequestID: r.id(), Kind: registrar.KindName(route.Name, "")}, Seen: true,
+		Query: broker.Query{RequestID: r.id(), Kind: registrar.KindName(route, "")}, Seen: true,
 		Deadline: sim.clock.time().Add(time.Duration(sim.scenario.Kinds[r.kind].Deadline) - (sim.clock.now - r.sentAt)),
 	}, sim.clock.time())
 	if err != nil {
