Give no two server processes one name

Cause: the name of a process was its ID, "@" and the time of day of its start. The host then uses one of the two and takes connections, latency and quarantine reports of one for the other's.

Change: the separator is doubled within the ID and the start time is written in full, to the base 36, which is two bytes shorter in delegations.

Ruled out: a struct as the key, as names go over the wire between hosts.

--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -81,12 +83,16 @@
 	StartedAt time.Time `json:"born,omitzero"`
 }
 
-// Name returns the name of the server's current process.
+// nameSeparator is between the ID and the start time in the name of a server, and is doubled in the ID.
+const nameSeparator = "@"
+
+// Name returns the name of the server's current process, which no other process has.
 func (r *Registration) Name() ServerName {
+	id := strings.ReplaceAll(r.ID, nameSeparator, nameSeparator+nameSeparator)
 	if r.StartedAt.IsZero() {
-		return ServerName(r.ID)
+		return ServerName(id)
 	}
-	return ServerName(r.ID + "@" + r.StartedAt.UTC().Format("150405.000"))
+	return ServerName(id + nameSeparator + strconv.FormatInt(r.StartedAt.UnixMilli(), 36))
 }
 
 // Equal reports whether two registrations are equal apart from WarmupLeft.
