Compare the serving hosts by their fields

Callers would keep addresses for up to 4 s, in place of 1 s, after a change of the serving hosts that the joined text does not show.

Cause: addressLifetime compared "name/process" of all hosts, joined by spaces. Change: a sorted list of structs.

Before the change the three cases of TestAddressLifetimeNames failed ("lifetime at the change: got 4s, want 1s"), after it they pass.

--- a/internal/forwarder/lifetime.go
+++ b/internal/forwarder/lifetime.go
@@ -1,8 +1,8 @@
 package forwarder
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,21 +22,27 @@
 // in series, so that the lifetime is short after a change and grows while there is none.
 type addressLifetime struct {
 	mu        sync.Mutex
-	hosts     string // processes of the serving hosts
+	hosts     []hostProcess // of the serving hosts, sorted
 	changedAt time.Time
 }
 
+// hostProcess is one process of a host.
+type hostProcess struct{ name, process string }
+
+func (p hostProcess) compare(other hostProcess) int {
+	return cmp.Or(cmp.Compare(p.name, other.name), cmp.Compare(p.process, other.process))
+}
+
 // observe records the serving hosts.
 func (l *addressLifetime) observe(serving []broker.HostRecord, now time.Time) {
-	names := make([]string, len(serving))
+	hosts := make([]hostProcess, len(serving))
 	for i := range serving {
-		names[i] = serving[i].Name + "/" + serving[i].Process
+		hosts[i] = hostProcess{serving[i].Name, serving[i].Process}
 	}
-	slices.Sort(names)
-	hosts := strings.Join(names, " ")
+	slices.SortFunc(hosts, hostProcess.compare)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.changedAt.IsZero() || hosts != l.hosts {
+	if l.changedAt.IsZero() || !slices.Equal(hosts, l.hosts) {
 		l.hosts, l.changedAt = hosts, now
 	}
 }
--- a/internal/forwarder/lifetime_test.go
+++ b/internal/forwarder/lifetime_test.go
@@ -48,3 +48,28 @@
 		})
 	}
 }
+
+// TestAddressLifetimeNames guards against a change of the serving hosts that goes unnoticed because their names can be read in
+// two ways.
+func TestAddressLifetimeNames(t *testing.T) {
+	started := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name          string
+		before, after []broker.HostRecord
+	}{
+		{"a slash", []broker.HostRecord{{Name: "a/b", Process: "c"}}, []broker.HostRecord{{Name: "a", Process: "b/c"}}},
+		{"a space", []broker.HostRecord{{Name: "a", Process: "1"}, {Name: "b", Process: "2"}}, []broker.HostRecord{{Name: "a", Process: "1 b/2"}}},
+		{"no names", []broker.HostRecord{{}, {}}, []broker.HostRecord{{Process: " /"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var lifetime addressLifetime
+			lifetime.observe(tt.before, started)
+			now := started.Add(time.Minute)
+			lifetime.observe(tt.after, now)
+			if got := lifetime.current(now); got != minAddressLifetime {
+				t.Errorf("lifetime at the change: got %s, want %s", got, minAddressLifetime)
+			}
+		})
+	}
+}
