Keep a connection until its answer has been sent

Cause: net/http sends a small answer, or the end of a larger one, after the handler has returned. limiter.Handler counted the connection as idle from the return on, and Account.Open closed the only idle connection for the next client.

Change: the connection is idle once net/http reports it idle. Until then it is in the new phase sending, which does not give way. limiter.Prepare sets handler, context and hook of a server together. A connection whose next request has arrived in its socket is not idle either. On the way: a planned stop waits for answers and not only for handlers, and the servers for other hosts, look-ups and status checks have 0.1 s for theirs at its end.

The look into a socket without reading it was in dispatcher; it is a package of its own now (peeker), used by both.

Before the change TestAnswerKeepsConnection failed ("answer on the connection that was kept: got <nil>, read ...: i/o timeout; want status 200") and so did TestArrivedRequestKeepsConnection.

--- a/internal/broker/state/accountant/account.go
+++ b/internal/broker/state/accountant/account.go
@@ -59,15 +59,33 @@
 	return len(a.connections)
 }
 
+// Answering returns the number of connections whose requests have an answer that has not been sent, and of callers also those
+// with a request in progress.
+func (a *Account) Answering() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for c := range a.connections {
+		switch c.Phase() {
+		case PhaseSending, PhaseAnswering:
+			count++
+		case PhaseRunning:
+			if c.caller {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // now returns the time since the account was created. The time of day may jump.
 func (a *Account) now() time.Duration { return time.Since(a.createdAt) }
 
 // Open adds a connection of a caller or of another client. If there are too many, the one that has made no progress for longest is
-// closed; without such a connection, Open fails with KindFull. Interrupt has to end the reads of the connection, and closeNow to
-// close it.
-func (a *Account) Open(caller bool, interrupt, closeNow func()) (*Connection, error) {
+// closed; without such a connection, Open fails with KindFull.
+func (a *Account) Open(caller bool, socket Socket) (*Connection, error) {
 	now := a.now()
-	c := &Connection{account: a, caller: caller, interrupt: interrupt, closeNow: closeNow}
+	c := &Connection{account: a, caller: caller, socket: socket}
 	c.state.Store(uint64(newState(PhaseIdle, now)))
 	a.mu.Lock()
 	by := rank(nil)
@@ -91,7 +109,7 @@
 	}
 	a.mu.Unlock()
 	if victim != nil {
-		victim.closeNow()
+		victim.socket.CloseNow()
 	}
 	return c, nil
 }
@@ -150,6 +168,11 @@
 		if victim == nil {
 			return nil
 		}
+		if seen.phase() == PhaseIdle && victim.socket.Unread() {
+			// The next request has begun to arrive.
+			victim.state.CompareAndSwap(uint64(seen), uint64(newState(PhaseHead, now)))
+			continue
+		}
 		// A connection that has moved on meanwhile stays.
 		if victim.state.CompareAndSwap(uint64(seen), uint64(newState(phaseEvicted, now))) {
 			victim.leaving = victim.bytes.Load()
@@ -197,7 +220,7 @@
 			return &Error{Op: "reserve memory", Kind: KindFull}
 		}
 		if victim != c {
-			victim.interrupt()
+			victim.socket.Interrupt()
 		}
 	}
 	return nil
--- a/internal/broker/state/accountant/accountant_test.go
+++ b/internal/broker/state/accountant/accountant_test.go
@@ -14,13 +14,22 @@
 type closable struct {
 	*Connection
 
-	interrupted, closed bool
+	interrupted, closed, unread bool
 }
 
+// Interrupt implements Socket.
+func (c *closable) Interrupt() { c.interrupted = true }
+
+// CloseNow implements Socket.
+func (c *closable) CloseNow() { c.closed = true }
+
+// Unread implements Socket.
+func (c *closable) Unread() bool { return c.unread }
+
 func open(t *testing.T, account *Account) *closable {
 	t.Helper()
 	c := &closable{}
-	entry, err := account.Open(false, func() { c.interrupted = true }, func() { c.closed = true })
+	entry, err := account.Open(false, c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +81,7 @@
 					enter(opened[i].Connection)
 					time.Sleep(3 * time.Second)
 				}
-				_, err := account.Open(false, func() {}, func() {})
+				_, err := account.Open(false, &closable{})
 				check(t, "refused", kindOf(err) == KindFull, tt.want < 0)
 				for i, c := range opened {
 					check(t, "closed", c.closed, i == tt.want)
@@ -105,7 +114,7 @@
 	const sockets = 2 * othersPart
 	account := New(Shares{Requests: 1 << 20, Inbound: sockets}, ignore)
 	openAs := func(caller bool) error {
-		c, err := account.Open(caller, func() {}, func() {})
+		c, err := account.Open(caller, &closable{})
 		if err == nil {
 			run(c)
 		}
--- a/internal/broker/state/accountant/connection.go
+++ b/internal/broker/state/accountant/connection.go
@@ -18,6 +18,8 @@
 	PhaseBody
 	// PhaseRunning has a request in progress.
 	PhaseRunning
+	// PhaseSending has an answer that has not been handed to the operating system whole.
+	PhaseSending
 	// PhaseAnswering waits until the caller has read enough of the answer for the rest to be sent.
 	PhaseAnswering
 	// PhaseClosing was refused and waits for the caller to read that.
@@ -29,7 +31,7 @@
 // answerGrace is how long a caller may leave an answer unread before its connection may be closed in favour of others.
 const answerGrace = 5 * time.Second
 
-var phaseNames = [...]string{"idle", "head", "body", "running", "answering", "closing", "evicted"}
+var phaseNames = [...]string{"idle", "head", "body", "running", "sending", "answering", "closing", "evicted"}
 
 // String returns the name of the phase.
 func (p Phase) String() string { return phaseNames[p] }
@@ -66,11 +68,21 @@
 	headFactor = 32
 )
 
+// Socket is the transport of a connection.
+type Socket interface {
+	// Interrupt ends the reads of the connection.
+	Interrupt()
+	// CloseNow closes the connection.
+	CloseNow()
+	// Unread reports whether bytes have arrived that have not been read. It does not block.
+	Unread() bool
+}
+
 // Connection is the account of one inbound connection. Other than by an eviction, only its owner changes its phase.
 type Connection struct {
-	account             *Account
-	caller              bool
-	interrupt, closeNow func()
+	account *Account
+	caller  bool
+	socket  Socket
 
 	state   atomic.Uint64
 	bytes   atomic.Int64 // memory held
@@ -148,28 +160,36 @@
 // EndBody ends the reception of a complete body.
 func (c *Connection) EndBody() error { return c.enter(PhaseRunning) }
 
-// Answering calls write, in which the answer to a request in progress may wait for the caller to read.
+// Answering calls write, in which the answer to a request may wait for the caller to read.
 func (c *Connection) Answering(write func() (int, error)) (int, error) {
-	if c.Phase() != PhaseRunning {
+	before := c.Phase()
+	if before != PhaseRunning && before != PhaseSending {
 		return write()
 	}
 	if err := c.enter(PhaseAnswering); err != nil {
 		return 0, err
 	}
 	n, err := write()
-	if entered := c.enter(PhaseRunning); err == nil {
+	if entered := c.enter(before); err == nil {
 		err = entered
 	}
 	return n, err
 }
 
+// EndHandling ends the request of an answer that may be in a buffer. The connection does not give way before End.
+func (c *Connection) EndHandling() {
+	if c.Phase() != PhaseClosing {
+		_ = c.enter(PhaseSending) // an evicted connection is being closed
+	}
+}
+
 // Refuse starts the wait for the caller to read a refusal, after which the connection is closed.
 func (c *Connection) Refuse() {
 	c.releaseAll()
 	c.state.Store(uint64(newState(PhaseClosing, c.account.now())))
 }
 
-// End ends a request; the connection waits for the next one.
+// End ends a request whose answer has been sent; the connection waits for the next one.
 func (c *Connection) End() {
 	c.releaseAll()
 	if c.Phase() != PhaseClosing {
--- a/internal/broker/state/accountant/property_test.go
+++ b/internal/broker/state/accountant/property_test.go
@@ -15,22 +15,33 @@
 type modelConnection struct {
 	*Connection
 
-	running, interrupted, closed bool
-	leases                       []*Lease
+	running, closed, unread bool
+	leases                  []*Lease
 }
 
+// Interrupt implements Socket.
+func (c *modelConnection) Interrupt() {}
+
+// CloseNow implements Socket.
+func (c *modelConnection) CloseNow() { c.closed = true }
+
+// Unread implements Socket.
+func (c *modelConnection) Unread() bool { return c.unread }
+
 // TestAccountProperties guards against memory or connections that are lost or counted twice, against an account that exceeds its
 // limits, and against a request in progress that has to give way, in any order of what connections do.
 func TestAccountProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shares := Shares{Requests: 400 << 10, Inbound: 16}
 		evictedInProgress := false
-		account := New(shares, func(e Eviction) { evictedInProgress = evictedInProgress || e.Phase == PhaseRunning })
+		account := New(shares, func(e Eviction) {
+			evictedInProgress = evictedInProgress || e.Phase == PhaseRunning || e.Phase == PhaseSending
+		})
 		var connections []*modelConnection
 		var extended int64 // by answers, which are taken without room
 		open := func(caller bool) {
 			c := &modelConnection{}
-			entry, err := account.Open(caller, func() { c.interrupted = true }, func() { c.closed = true })
+			entry, err := account.Open(caller, c)
 			if err == nil {
 				c.Connection = entry
 				connections = append(connections, c)
@@ -84,10 +95,16 @@
 					extended += 1 << 10
 				}
 			},
-			"end": func(*rapid.T) {
+			"end of handling": func(*rapid.T) {
+				c := pick()
+				end(c)
+				c.EndHandling()
+			},
+			"end": func(t *rapid.T) {
 				c := pick()
 				end(c)
 				c.End()
+				c.unread = rapid.Bool().Draw(t, "next request has arrived")
 			},
 			"refuse": func(*rapid.T) {
 				if c := pick(); len(c.leases) == 0 {
--- a/internal/broker/transport/dispatcher/conn.go
+++ b/internal/broker/transport/dispatcher/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/yuccarock/yuccarock/internal/broker/transport/peeker"
 )
 
 var (
@@ -134,22 +136,10 @@
 	if c.idleTimeout > 0 && time.Since(c.idleSince) >= c.idleTimeout {
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if _, ok := c.Conn.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var next [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && open
+	return peeker.Peek(c.Conn) == peeker.Quiet
 }
 
 // closeGracefully sends a FIN and closes the connection once the server has closed its side, after the timeout, or after
--- a/internal/broker/transport/limiter/conn.go
+++ b/internal/broker/transport/limiter/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yuccarock/yuccarock/internal/broker/state/accountant"
+	"github.com/yuccarock/yuccarock/internal/broker/transport/peeker"
 )
 
 const (
@@ -44,8 +45,8 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// ConnContext adds the connection to the context of its requests; it is meant for http.Server.ConnContext.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
+// connContext adds the connection to the context of its requests; it is meant for http.Server.ConnContext.
+func connContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -90,16 +91,19 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// interrupt makes all reads fail.
-func (c *conn) interrupt() {
+// Interrupt makes all reads fail.
+func (c *conn) Interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
-// closeNow closes the socket at once; its owner closes the connection once it notices.
-func (c *conn) closeNow() { _ = c.Conn.Close() }
+// CloseNow closes the socket at once; its owner closes the connection once it notices.
+func (c *conn) CloseNow() { _ = c.Conn.Close() }
+
+// Unread reports whether bytes have arrived that have not been read.
+func (c *conn) Unread() bool { return peeker.Peek(c.Conn) == peeker.Unread }
 
 // Close closes the connection, after the client has had the time to read the answer to an abandoned request. A second Close, of
 // a server that is being closed, ends that time.
--- a/internal/broker/transport/limiter/handler.go
+++ b/internal/broker/transport/limiter/handler.go
@@ -1,11 +1,25 @@
 package limiter
 
 import (
+	"net"
 	"net/http"
 )
 
-// Handler returns a handler that accounts for the requests in progress; next has to read their bodies with ReadBody.
-func Handler(next http.Handler) http.Handler {
+// Prepare has a server account for its connections, which have to come from a Listener. Its handler has to read bodies with
+// ReadBody.
+func Prepare(server *http.Server) {
+	server.Handler = account(server.Handler)
+	server.ConnContext = connContext
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*conn); ok && state == http.StateIdle {
+			c.entry.End()
+		}
+	}
+}
+
+// account returns a handler that accounts for the requests in progress. net/http sends a part of the answer after the handler
+// has returned, so that a request does not end before its connection is idle.
+func account(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
 		if c == nil {
@@ -18,7 +32,7 @@
 		c.handled.Store(false)
 		defer func() {
 			c.handled.Store(true)
-			c.entry.End()
+			c.entry.EndHandling()
 		}()
 		next.ServeHTTP(w, r)
 	})
@@ -46,5 +60,5 @@
 	w.Header().Set("Connection", "close")
 	c.abandoned.Store(true)
 	c.entry.Refuse()
-	c.interrupt() // net/http would otherwise wait for the rest of the body
+	c.Interrupt() // net/http would otherwise wait for the rest of the body
 }
--- a/internal/broker/transport/limiter/limiter_test.go
+++ b/internal/broker/transport/limiter/limiter_test.go
@@ -30,6 +30,12 @@
 }
 
 func newEndpoint(t *testing.T, shares accountant.Shares, timeout time.Duration) *endpoint {
+	t.Helper()
+	return newEndpointBehind(t, shares, timeout, func(c net.Conn) net.Conn { return c })
+}
+
+// newEndpointBehind starts a server on connections that wrap returns for those that were accepted.
+func newEndpointBehind(t *testing.T, shares accountant.Shares, timeout time.Duration, wrap func(net.Conn) net.Conn) *endpoint {
 	t.Helper()
 	socket, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
@@ -38,14 +44,44 @@
 	e := &endpoint{
 		address: socket.Addr().String(), account: accountant.New(shares, func(accountant.Eviction) {}), timeout: timeout,
 	}
-	server := &http.Server{Handler: Handler(http.HandlerFunc(e.serve)), ConnContext: ConnContext, ReadHeaderTimeout: testTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: testTimeout}
+	Prepare(server)
 	go func() {
-		_ = server.Serve(NewListener(socket, e.account, false, metrics.NewSet().NewCounter("refused")))
+		_ = server.Serve(NewListener(wrappedListener{socket, wrap}, e.account, false, metrics.NewSet().NewCounter("refused")))
 	}()
 	t.Cleanup(func() { _ = server.Close() })
 	return e
 }
 
+// wrappedListener wraps the connections that it accepts.
+type wrappedListener struct {
+	net.Listener
+
+	wrap func(net.Conn) net.Conn
+}
+
+func (l wrappedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
+
+// heldConn holds each write back until released is closed.
+type heldConn struct {
+	net.Conn
+
+	writing  chan struct{} // receives once for each write that is held back
+	released chan struct{}
+}
+
+func (c *heldConn) Write(data []byte) (int, error) {
+	c.writing <- struct{}{}
+	<-c.released
+	return c.Conn.Write(data)
+}
+
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := ReadBody(r, bodyLimit, time.Now().Add(e.timeout))
 	if err != nil {
@@ -226,3 +262,89 @@
 		t.Errorf("answers to another caller: got %q, want \"200 2\"", got)
 	}
 }
+
+// TestAnswerKeepsConnection guards against a connection that is closed to make room, or forgotten by a planned stop, between the
+// end of its handler and the sending of its answer.
+func TestAnswerKeepsConnection(t *testing.T) {
+	writing, released := make(chan struct{}, 4), make(chan struct{})
+	e := newEndpointBehind(t, accountant.Shares{Requests: 1 << 20, Inbound: 1}, testTimeout, func(c net.Conn) net.Conn {
+		return &heldConn{Conn: c, writing: writing, released: released}
+	})
+	kept, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = kept.Close() }()
+	_ = kept.SetDeadline(time.Now().Add(testTimeout))
+	_, _ = io.WriteString(kept, post("Content-Length: 2\r\n", "bb"))
+	<-writing // an answer of a few bytes is written once the handler has returned
+	if got := e.account.Answering(); got != 1 {
+		t.Errorf("connections with an answer that has not been sent: got %d, want 1", got)
+	}
+	another, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = another.Close() }()
+	_ = another.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := another.Read(make([]byte, 1)); err == nil {
+		t.Error("another connection without room: got a byte, want its end")
+	}
+	close(released)
+	response, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("answer on the connection that was kept: got %v, %v; want status 200", response, err)
+	}
+	for end := time.Now().Add(testTimeout); e.account.Answering() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("connections with an answer that has not been sent: got 1 after it was read, want none")
+		}
+	}
+}
+
+// TestArrivedRequestKeepsConnection guards against closing a connection as the one that has been idle for longest although its
+// next request has arrived.
+func TestArrivedRequestKeepsConnection(t *testing.T) {
+	reading := make(chan struct{})
+	e := newEndpointBehind(t, accountant.Shares{Requests: 1 << 20, Inbound: 2}, testTimeout, func(c net.Conn) net.Conn {
+		return &unreadConn{TCPConn: c.(*net.TCPConn), reading: reading}
+	})
+	var clients [2]net.Conn
+	for i := range clients {
+		c, err := net.Dial("tcp", e.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		for end := time.Now().Add(testTimeout); e.account.Connections() <= i && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+		clients[i] = c
+	}
+	_, _ = io.WriteString(clients[0], post("Content-Length: 2\r\n", "bb"))
+	third, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = third.Close() }()
+	if _, err := clients[1].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the other idle connection: got %v, want its end", err)
+	}
+	close(reading)
+	response, err := http.ReadResponse(bufio.NewReader(clients[0]), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("answer on the connection with a request: got %v, %v; want status 200", response, err)
+	}
+}
+
+// unreadConn reads nothing until reading is closed.
+type unreadConn struct {
+	*net.TCPConn
+
+	reading chan struct{}
+}
+
+func (c *unreadConn) Read(data []byte) (int, error) {
+	<-c.reading
+	return c.TCPConn.Read(data)
+}
--- a/internal/broker/transport/limiter/listener.go
+++ b/internal/broker/transport/limiter/listener.go
@@ -57,7 +57,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: accepted}
-		if c.entry, err = l.account.Open(l.callers, c.interrupt, c.closeNow); err == nil {
+		if c.entry, err = l.account.Open(l.callers, c); err == nil {
 			return c, nil
 		}
 		l.refused.Inc()
--- /dev/null
+++ b/internal/broker/transport/peeker/doc.go
@@ -0,0 +1,2 @@
+// Package peeker looks at what a socket has received without reading it.
+package peeker
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,6 +37,8 @@
 	finishReserve = 1500 * time.Millisecond
 	// refusalFlushTime is how long refusals may take to be sent after the last request in progress has ended.
 	refusalFlushTime = 100 * time.Millisecond
+	// answerCheckInterval is the pause between two checks whether all answers have been sent.
+	answerCheckInterval = 5 * time.Millisecond
 	// lookUpFlushTime is how long a resolver that stops answers look-ups on connections that are open.
 	lookUpFlushTime = 500 * time.Millisecond
 	// quietPeriod is the time without a request after which callers are assumed to have left this host.
--- a/internal/forwarder/servers.go
+++ b/internal/forwarder/servers.go
@@ -31,10 +31,10 @@
 		return nil, err
 	}
 	server := &http.Server{
-		Handler: limiter.Handler(handler), ConnContext: limiter.ConnContext, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelWarn),
 	}
+	limiter.Prepare(server)
 	return &listeningServer{
 		Server: server, listener: limiter.NewListener(listener, f.account, address == f.settings.Entry, f.meters.connectionsRefused),
 	}, nil
--- a/internal/forwarder/stop.go
+++ b/internal/forwarder/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,7 @@
 	_ = callers.listener.Close()
 	f.drainer.Refuse()
 	err := f.drainer.Wait(ctx)
+	f.awaitAnswers(ctx)
 	// Shutdown closes idle connections, which earlier would have cut off requests in transit on them. Refusals do not
 	// count as in progress and may still be in transit.
 	closing, cancelClosing := context.WithTimeout(force, refusalFlushTime)
@@ -35,6 +37,13 @@
 	return nil
 }
 
+// awaitAnswers returns once the answers to all requests have been sent. A request is no longer in progress before its answer is.
+func (f *Forwarder) awaitAnswers(ctx context.Context) {
+	for f.account.Answering() > 0 && ctx.Err() == nil {
+		waiter.Wait(ctx, answerCheckInterval)
+	}
+}
+
 // awaitQuiet returns once callers have had the time to learn of other hosts and none has sent a request for
 // quietPeriod. The server is not shut down yet, because that closes idle connections on which a request may just have
 // arrived.
@@ -66,8 +75,16 @@
 	time.Sleep(lookUpFlushTime)
 }
 
+// closeAll closes servers, after refusalFlushTime at most for the answers that are being sent.
 func closeAll(servers []*listeningServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalFlushTime)
+	defer cancel()
+	var shutdowns sync.WaitGroup
 	for _, server := range servers {
-		_ = server.Close()
+		shutdowns.Go(func() {
+			_ = server.Shutdown(ctx)
+			_ = server.Close()
+		})
 	}
+	shutdowns.Wait()
 }
