Let a repeated stop signal change nothing

Cause: the second stop signal, of either kind, cancelled the context at which all connections are closed. It was meant for an operator at a terminal; stops of one machine may overlap, too.

Change: SIGTERM starts a planned stop and is otherwise only logged.

Ruled out: no forced end at all, which would leave an operator with SIGKILL.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -4,9 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +12,7 @@
 
 	"github.com/yuccarock/yuccarock/internal/forwarder"
 	"github.com/yuccarock/yuccarock/internal/logger"
+	"github.com/yuccarock/yuccarock/internal/signaler"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 	"github.com/yuccarock/yuccarock/platform"
 )
@@ -24,7 +23,8 @@
 		Name:  "host",
 		Usage: "run an entry host on the users' platform",
 		Description: "Reads the platform's settings file, follows configuration and backend servers in the platform's store\n" +
-			"and forwards callers' requests. SIGTERM or SIGINT starts a planned stop; a second signal makes it exit at once.\nSIGHUP reloads the settings file.\n\n" +
+			"and forwards callers' requests. SIGTERM or SIGINT starts a planned stop. Further signals change\n" +
+			"nothing, except that a second SIGINT, as from a terminal, makes it exit at once. SIGHUP reloads the settings file.\n\n" +
 			"Example: yuccarock host --metrics-port 9464",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the platform's JSON settings `FILE`", Required: true,
@@ -72,11 +72,10 @@
 		Settings: settings.Settings, Sources: platform.NewSources(store, set, nodeLog), Codec: platform.Codec{},
 		Directory: platform.NewDirectory, Probe: platform.NewProbe(), Tracer: tracer.Disabled(), Metrics: set, Logger: nodeLog,
 	})
-	stop, force, release := stopSignals(ctx)
+	stop, force, release := signaler.Stops(ctx, nodeLog)
 	defer release()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	hangups, releaseHangups := signaler.Hangups()
+	defer releaseHangups()
 	go reload(stop, hangups, load, host.Reload, nodeLog)
 	return host.Run(stop, force)
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/urfave/cli/v3"
@@ -13,6 +11,7 @@
 	"github.com/yuccarock/yuccarock/internal/broker/transport/linker"
 	"github.com/yuccarock/yuccarock/internal/loader"
 	"github.com/yuccarock/yuccarock/internal/server"
+	"github.com/yuccarock/yuccarock/internal/signaler"
 	"github.com/yuccarock/yuccarock/internal/tracer"
 )
 
@@ -23,7 +22,8 @@
 		Usage: "run the daemon of an entry host",
 		Description: "Reads the settings file, joins the cell and serves callers. SIGTERM or SIGINT starts a planned stop:\n" +
 			"the node is removed from the entries that callers resolve, hands over its backend servers, finishes requests\n" +
-			"in progress and exits with 0. A second signal makes it exit at once.\n\nExample: yuccarock serve --settings a1.json",
+			"in progress and exits with 0. Further signals change nothing, except that a second SIGINT, as from a terminal,\n" +
+			"makes it exit at once.\n\nExample: yuccarock serve --settings a1.json",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "JSON settings `FILE`", Required: true},
 		},
@@ -63,30 +63,7 @@
 	if err != nil {
 		return err
 	}
-	stop, force, release := stopSignals(ctx)
+	stop, force, release := signaler.Stops(ctx, logger)
 	defer release()
 	return daemon.Run(stop, force)
 }
-
-// stopSignals returns a context that is cancelled by the first stop signal and one that is cancelled by the second.
-func stopSignals(parent context.Context) (stop, force context.Context, release func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	stop, cancelStop := context.WithCancel(parent)
-	force, cancelForce := context.WithCancel(context.WithoutCancel(parent))
-	go func() {
-		for _, cancel := range []context.CancelFunc{cancelStop, cancelForce} {
-			select {
-			case <-signals:
-				cancel()
-			case <-force.Done():
-				return
-			}
-		}
-	}()
-	return stop, force, func() {
-		signal.Stop(signals)
-		cancelStop()
-		cancelForce()
-	}
-}
--- /dev/null
+++ b/internal/signaler/doc.go
@@ -0,0 +1,2 @@
+// Package signaler handles the signals of daemons.
+package signaler
