messenger: measure a slow delegation from the arrival of its head

TestSlowDelegation failed once beside other load: "time left: got 1.707162284s, want at most 1.7s". The test begins its delay when the client has taken the first byte of the body, and the host measures from when it handles the head. A host that gets to the head 7 ms later leaves 7 ms more than the test allows; no host can know of that time.

The request now asks for "100 Continue", so that the client takes the body, and the delay begins, after the handler has started. The bound is the same.

--- a/internal/broker/transport/messenger/messenger_test.go
+++ b/internal/broker/transport/messenger/messenger_test.go
@@ -237,7 +237,14 @@
 		_, _ = writer.Write(body[1:])
 		_ = writer.Close()
 	}()
-	response, err := http.Post("http://"+host.String()+Path, "application/cbor", reader)
+	request, err := http.NewRequest(http.MethodPost, "http://"+host.String()+Path, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The body is sent once the host has read the head and asks for it, so that the whole delay is after the arrival of the head.
+	request.Header.Set("Expect", "100-continue")
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute, DisableKeepAlives: true}}
+	response, err := client.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
