Bound further attempts over any series of starts

Cause: each new process began each budget with half a burst. The slack covers the bursts of the serving hosts and of one more, not of every process that starts within a window.

Change: budgets start empty. While a host serves callers it gets its part of what the bursts leave of the slack, evenly over its first window; a host that serves callers no more gives its tokens up, one that stops keeps them. At the first start of the whole system budgets begin half full, as before.

Ruled out: a share by the starts seen lately (a process that is gone can't tell of its start, and the store is often away then); a smaller burst (hosts in calm would lose it, and enough starts still exceed the slack).

--- a/internal/broker/coordination/budgeter/budgeter.go
+++ b/internal/broker/coordination/budgeter/budgeter.go
@@ -27,12 +27,11 @@
 	fixedLimit bool // the maximum is the burst, whatever the fan-out
 }
 
-// NewFixedBudget returns a budget that never holds more than burst tokens. It starts with half of them, because a host
-// that restarts often must not get the whole slack each time.
-func NewFixedBudget(share float64, burst int) *Budget {
+// newFixedBudget returns an empty budget that never holds more than burst tokens.
+func newFixedBudget(share float64, burst int) *Budget {
 	b := NewBudget(share, burst)
 	b.fixedLimit = true
-	b.tokens.Store(b.burst / 2)
+	b.tokens.Store(0)
 	return b
 }
 
@@ -65,20 +64,22 @@
 
 // Deposit credits the share for a number of requests of base load sent at once.
 func (b *Budget) Deposit(requests int) {
-	credit := b.share.Load() * int64(requests)
-	if credit == 0 {
+	units := b.share.Load() * int64(requests)
+	if units == 0 {
 		return
 	}
-	limit := b.maxTokens.Load()
-	if !b.fixedLimit {
-		limit = max(b.burst, burstQueries*credit)
-		if b.maxTokens.Load() != limit {
-			b.maxTokens.Store(limit)
-		}
+	if limit := max(b.burst, burstQueries*units); !b.fixedLimit && b.maxTokens.Load() != limit {
+		b.maxTokens.Store(limit)
 	}
+	b.credit(units)
+}
+
+// credit adds units of tokens up to the maximum.
+func (b *Budget) credit(units int64) {
+	limit := b.maxTokens.Load()
 	for {
 		current := b.tokens.Load()
-		next := min(current+credit, max(limit, current))
+		next := min(current+units, max(limit, current))
 		if next == current || b.tokens.CompareAndSwap(current, next) {
 			return
 		}
--- a/internal/broker/coordination/scatterer/strategy_test.go
+++ b/internal/broker/coordination/scatterer/strategy_test.go
@@ -16,7 +16,9 @@
 func startDirect(f *fixture, strategy Strategy) (*Session, Actions) {
 	strategy.Direct = true
 	if strategy.Budgets == nil {
-		strategy.Budgets = budgeter.NewShards(0.2, 10)
+		strategy.Budgets = budgeter.NewShards(0.2, budgeter.Allotment{Burst: 10, Start: 5, Window: time.Second})
+		strategy.Budgets.Serve(epoch.Add(-time.Second))
+		strategy.Budgets.Serve(epoch)
 	}
 	s, err := New(Dependencies{
 		View: f.tracker.View(), Random: rand.New(rand.NewPCG(1, 0)), Strategy: strategy,
@@ -108,7 +110,7 @@
 
 // TestShardBudget checks that a shard with an empty budget gets neither hedges nor retries.
 func TestShardBudget(t *testing.T) {
-	budgets := budgeter.NewShards(0, 0)
+	budgets := budgeter.NewShards(0, budgeter.Allotment{})
 	f := directFixture(1)
 	s, actions := startDirect(f, Strategy{MaxAttempts: 2, Target: 100 * time.Millisecond, Budgets: budgets})
 	s.Wake(epoch.Add(60 * time.Millisecond))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -168,7 +168,10 @@
 	if f.settings.resolvesOnly() {
 		f.registrar.SetRole(registrar.RoleStandby)
 	}
-	f.budgets = budgeter.NewShards(budgeter.HostShare(deps.Settings.RetryShare), retryBurst(deps.Settings, 0))
+	f.budgets = budgeter.NewShards(budgeter.HostShare(deps.Settings.RetryShare), retryAllotment(deps.Settings, 0))
+	if deps.Settings.FirstStart {
+		f.budgets.SetFirstStart()
+	}
 	f.delegates, f.messenger = delegator.New(deps.Settings.Zone), messenger.NewClient(f.set)
 	f.relays = relayer.NewRelays()
 	f.relays.SetFallbacks(deps.Settings.Seeds)
@@ -327,9 +330,10 @@
 	helping := f.zoneDelegates(serving)
 	f.registrar.SetHostCount(len(serving))
 	f.divideRates(serving)
-	f.budgets.SetBurst(retryBurst(*f.reloadable.Load(), len(serving)))
 	f.lifetime.observe(serving, time.Now())
-	f.registrar.SetRole(f.ownRole(serving, helping))
+	role := f.ownRole(serving, helping)
+	f.registrar.SetRole(role)
+	f.updateBudgets(role, len(serving))
 	// A host that has not answered lately may be gone, and a delegation to it would take until its dial timeout.
 	ready := f.prober.Ready(2 * standbyProbeInterval)
 	f.delegates.Set(slices.DeleteFunc(slices.Concat(serving, helping), func(host broker.HostRecord) bool {
@@ -374,9 +378,21 @@
 	}
 }
 
-// retryBurst returns this host's share of the retry slack, which is divided among hosts.
-func retryBurst(settings Settings, hosts int) int {
-	return budgeter.HostBurst(settings.RetrySlack, max(hosts, minServingHosts))
+// updateBudgets adjusts the budgets for further attempts to this host's role and the number of serving hosts. A host that stops is
+// not among those any more, but finishes its requests with the tokens that it has.
+func (f *Forwarder) updateBudgets(role registrar.Role, hosts int) {
+	f.budgets.SetAllotment(retryAllotment(*f.reloadable.Load(), hosts))
+	switch {
+	case role == registrar.RoleServing:
+		f.budgets.Serve(time.Now())
+	case !f.drainer.Leaving():
+		f.budgets.Rest()
+	}
+}
+
+// retryAllotment returns this host's part of the retry slack, which is divided among the serving hosts.
+func retryAllotment(settings Settings, hosts int) budgeter.Allotment {
+	return budgeter.HostAllotment(settings.RetrySlack, max(hosts, minServingHosts), settings.RetryWindow)
 }
 
 // Reload applies the settings that may change while the host runs: the stop deadline, the retry budget and the seeds.
@@ -384,12 +400,12 @@
 func (f *Forwarder) Reload(settings Settings) bool {
 	current := f.reloadable.Load()
 	if current.StopDeadline == settings.StopDeadline && current.RetryShare == settings.RetryShare &&
-		current.RetrySlack == settings.RetrySlack && slices.Equal(current.Seeds, settings.Seeds) {
+		current.RetrySlack == settings.RetrySlack && current.RetryWindow == settings.RetryWindow && slices.Equal(current.Seeds, settings.Seeds) {
 		return false
 	}
 	next := *current
 	next.StopDeadline, next.Seeds = settings.StopDeadline, settings.Seeds
-	next.RetryShare, next.RetrySlack = settings.RetryShare, settings.RetrySlack
+	next.RetryShare, next.RetrySlack, next.RetryWindow = settings.RetryShare, settings.RetrySlack, settings.RetryWindow
 	f.reloadable.Store(&next)
 	f.budgets.SetShare(budgeter.HostShare(next.RetryShare))
 	f.relays.SetFallbacks(f.fallbackAddresses())
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -41,9 +41,10 @@
 	// StopDeadline is the maximum duration of a planned stop.
 	StopDeadline time.Duration
 	// RetryShare and RetrySlack limit what all hosts together send beyond the first attempt of each request: RetryShare
-	// times the requests for a service, plus RetrySlack attempts within 10 s.
-	RetryShare float64
-	RetrySlack int
+	// times the requests for a service, plus RetrySlack attempts, within RetryWindow.
+	RetryShare  float64
+	RetrySlack  int
+	RetryWindow time.Duration
 }
 
 // Shares returns the parts of this process's memory and descriptors.
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -22,6 +22,9 @@
 func (discardSink) SetTable(*indexer.Table)       {}
 func (discardSink) Retain(broker.ServerName, int) {}
 
+// retryWindow is the time within which the extra attempts of all hosts are limited.
+const retryWindow = 10 * time.Second
+
 // host is one entry host with the state that its decisions depend on.
 type host struct {
 	sim      *simulation
@@ -46,11 +49,16 @@
 	h.registrar.Adopt(sim.catalog)
 	h.registrar.SetServers(sim.registrations, registrar.FromListing, sim.clock.time())
 	h.registrar.SetHostCount(len(sim.hosts))
-	share, burst := budgeter.HostShare(sim.scenario.RetryShare), budgeter.HostBurst(sim.scenario.RetrySlack, len(sim.hosts))
+	share := budgeter.HostShare(sim.scenario.RetryShare)
+	allotment := budgeter.HostAllotment(sim.scenario.RetrySlack, len(sim.hosts), retryWindow)
 	if sim.policy.NoExtraAttempts {
-		share, burst = 0, 0
+		share, allotment = 0, budgeter.Allotment{}
+	}
+	h.budgets = budgeter.NewShards(share, allotment)
+	if sim.clock.now == 0 {
+		h.budgets.SetFirstStart()
 	}
-	h.budgets = budgeter.NewShards(share, burst)
+	h.budgets.Serve(sim.clock.time())
 }
 
 // kill takes the host down and fails the calls in progress.
@@ -81,6 +89,7 @@
 	c := &call{host: h, request: r, number: sim.callCount}
 	sim.callCount++
 	var err error
+	h.budgets.Serve(sim.clock.time())
 	c.session, err = scatterer.New(scatterer.Dependencies{
 		View: h.registrar.View().Tracked, Random: h.random,
 		Strategy: scatterer.NewStrategy(route, sim.scenario.Zones[h.zone], h.budgets),
--- a/internal/modeler/scenario.go
+++ b/internal/modeler/scenario.go
@@ -39,7 +39,7 @@
 	Pause  configurator.Duration `json:"pause"`
 	Period configurator.Duration `json:"period"`
 	// RetryShare and RetrySlack limit the extra attempts of all hosts together: to a share of the requests for a shard, plus
-	// a number within 10 s.
+	// a number within retryWindow.
 	RetryShare float64 `json:"retryShare"`
 	RetrySlack int     `json:"retrySlack"`
 	Kinds      []Kind  `json:"kinds"`
