--- a/internal/broker/coordination/budgeter/shards_test.go
+++ b/internal/broker/coordination/budgeter/shards_test.go
@@ -93,7 +93,7 @@
 		{name: "three hosts", hosts: 3, rate: 25, slack: 52, period: 30},
 		{name: "300 hosts", hosts: 300, rate: 1, slack: 1500, period: 100},
 		{name: "690 hosts", hosts: 690, rate: 1, slack: 3500, period: 100},
-		{name: "more hosts than slack", hosts: 690, rate: 1, slack: 700, period: 100},
+		{name: "nearly as many hosts as slack", hosts: 690, rate: 1, slack: 700, period: 100},
 		{name: "hosts that serve in turn", hosts: 6, rate: 10, slack: 54, period: 100, resume: true},
 	}
 	for _, tt := range tests {
